--- /dev/null
+++ b/src/flamingoroute/model/member.hpp
@@ -0,0 +1,24 @@
+#ifndef FLAMINGOROUTE_MODEL_MEMBER_HPP
+#define FLAMINGOROUTE_MODEL_MEMBER_HPP
+
+#include "flamingoroute/model/endpoint.hpp"
+#include "flamingoroute/model/ids.hpp"
+
+namespace flamingoroute {
+
+/// An instance of the system: where it is and how it is reached.
+struct member {
+    instance_id instance;
+    failure_domain_id failureDomain;
+    region_id region;
+    endpoint callerAddress; ///< HTTP, for callers
+    endpoint entryAddress; ///< nng, the entry process
+    endpoint controlAddress; ///< nng, the control process
+
+    auto operator<=>(const member&) const = default;
+    bool operator==(const member&) const = default;
+};
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/model/service.hpp
@@ -0,0 +1,29 @@
+#ifndef FLAMINGOROUTE_MODEL_SERVICE_HPP
+#define FLAMINGOROUTE_MODEL_SERVICE_HPP
+
+#include "flamingoroute/model/ids.hpp"
+#include "flamingoroute/model/route.hpp"
+
+#include <vector>
+
+namespace flamingoroute {
+
+/// What a service does with a non-repeatable request that no claim can be made for.
+enum class unclaimable_policy {
+    refuse,
+    run_in_domain,
+};
+
+/// A named set of routes served by upstreams.
+struct service {
+    service_id name;
+    version_id currentVersion; ///< takes the traffic that no move gives to another version
+    std::vector<route> routes; ///< the longest matching prefix wins
+    unclaimable_policy unclaimable = unclaimable_policy::refuse;
+
+    bool operator==(const service&) const = default;
+};
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/peers/peer_bus.hpp
@@ -0,0 +1,57 @@
+#ifndef FLAMINGOROUTE_PEERS_PEER_BUS_HPP
+#define FLAMINGOROUTE_PEERS_PEER_BUS_HPP
+
+#include "flamingoroute/model/endpoint.hpp"
+#include "flamingoroute/model/error.hpp"
+#include "flamingoroute/peers/envelope.hpp"
+
+#include <tl/expected.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace flamingoroute {
+
+/// Sends and receives envelopes over nng. Messages may be lost, delayed or, after a reconnect, reordered;
+/// a peer that does not take its messages loses them and delays nobody.
+class peer_bus {
+public:
+    /// Called on the receiving thread for each message; must not block.
+    using message_handler = std::function<void(const envelope&)>;
+
+    /// @param self the sender named in each message
+    /// @param role the sending process
+    /// @param selfIncarnation the incarnation named in each message
+    peer_bus(instance_id self, process_role role, incarnation selfIncarnation);
+    ~peer_bus();
+    peer_bus(const peer_bus&) = delete;
+    peer_bus& operator=(const peer_bus&) = delete;
+
+    /// Starts to receive.
+    /// @param where the address to listen on
+    /// @param handler called for each message
+    /// @return `unavailable` if the address cannot be used
+    tl::expected<void, error> listen(const endpoint& where, message_handler handler);
+
+    /// Sends without waiting. Safe to call from any thread.
+    /// @param to the receiving process
+    /// @param kind what @p body is
+    /// @param body msgpack
+    /// @return false if the message was dropped
+    bool send(const endpoint& to, message_kind kind, std::string body);
+
+    /// @return messages dropped since the start because a peer did not take them
+    std::uint64_t droppedCount() const;
+
+    /// Stops receiving and closes all connections.
+    void stop();
+
+private:
+    struct state;
+    std::unique_ptr<state> m_state;
+};
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/runtime/bounded_ring.hpp
@@ -0,0 +1,79 @@
+#ifndef FLAMINGOROUTE_RUNTIME_BOUNDED_RING_HPP
+#define FLAMINGOROUTE_RUNTIME_BOUNDED_RING_HPP
+
+#include <boost/lockfree/queue.hpp>
+
+#include <atomic>
+#include <condition_variable>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <optional>
+
+namespace flamingoroute {
+
+/// Joins duty threads: many may push, one pops. A full ring refuses new work and counts it.
+/// @tparam Item a movable type
+template <typename Item> class bounded_ring {
+public:
+    /// @param capacity items that fit; at most 65534
+    explicit bounded_ring(std::size_t capacity)
+        : m_queue(capacity)
+    {
+    }
+
+    ~bounded_ring()
+    {
+        Item* left = nullptr;
+        while (m_queue.pop(left))
+            delete left;
+    }
+
+    bounded_ring(const bounded_ring&) = delete;
+    bounded_ring& operator=(const bounded_ring&) = delete;
+
+    /// @return false if the ring is full; the item is dropped and counted then
+    bool push(Item item)
+    {
+        auto holder = std::make_unique<Item>(std::move(item));
+        if (!m_queue.bounded_push(holder.get())) {
+            ++m_refused;
+            return false;
+        }
+        holder.release();
+        m_arrived.notify_one();
+        return true;
+    }
+
+    /// @return the oldest item, or nothing
+    std::optional<Item> pop()
+    {
+        Item* raw = nullptr;
+        if (!m_queue.pop(raw))
+            return std::nullopt;
+        const std::unique_ptr<Item> holder(raw);
+        return std::move(*holder);
+    }
+
+    /// Waits until an item may be there.
+    /// @param patience the longest time to wait
+    template <typename Duration> void waitForItem(Duration patience)
+    {
+        std::unique_lock lock(m_mutex);
+        m_arrived.wait_for(lock, patience, [this] { return !m_queue.empty(); });
+    }
+
+    /// @return items refused because the ring was full
+    std::uint64_t refusedCount() const { return m_refused; }
+
+private:
+    boost::lockfree::queue<Item*, boost::lockfree::fixed_sized<true>> m_queue;
+    std::atomic<std::uint64_t> m_refused { 0 };
+    std::mutex m_mutex;
+    std::condition_variable m_arrived;
+};
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/store/stored_object.hpp
@@ -0,0 +1,24 @@
+#ifndef FLAMINGOROUTE_STORE_STORED_OBJECT_HPP
+#define FLAMINGOROUTE_STORE_STORED_OBJECT_HPP
+
+#include <cstdint>
+#include <string>
+
+namespace flamingoroute {
+
+/// The platform's version of one object; it grows with each write to the object and is never used again.
+using object_version = std::uint64_t;
+
+/// An object of the platform's API as it was read.
+struct stored_object {
+    std::string kind;
+    std::string name;
+    object_version version = 0;
+    std::string value;
+
+    bool operator==(const stored_object&) const = default;
+};
+
+} // namespace flamingoroute
+
+#endif
