--- /dev/null
+++ b/src/flamingoroute/requests/attempt_outcome.hpp
@@ -0,0 +1,38 @@
+#ifndef FLAMINGOROUTE_REQUESTS_ATTEMPT_OUTCOME_HPP
+#define FLAMINGOROUTE_REQUESTS_ATTEMPT_OUTCOME_HPP
+
+namespace flamingoroute {
+
+/// What became of one attempt to have an upstream run a request.
+enum class attempt_outcome {
+    not_sent, ///< no byte of the request left for the upstream's application
+    refused, ///< the upstream says that it did not run the request
+    unknown, ///< the request may have run
+    answered, ///< a whole answer came back
+};
+
+/// @return the standard name, for example "not_sent"
+inline const char* toString(attempt_outcome outcome)
+{
+    switch (outcome) {
+    case attempt_outcome::not_sent:
+        return "not_sent";
+    case attempt_outcome::refused:
+        return "refused";
+    case attempt_outcome::unknown:
+        return "unknown";
+    case attempt_outcome::answered:
+        return "answered";
+    }
+    return "unknown";
+}
+
+/// @return whether the request surely did not run in such an attempt
+inline bool isSurelyNotRun(attempt_outcome outcome)
+{
+    return outcome == attempt_outcome::not_sent || outcome == attempt_outcome::refused;
+}
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/requests/route_match.hpp
@@ -0,0 +1,24 @@
+#ifndef FLAMINGOROUTE_REQUESTS_ROUTE_MATCH_HPP
+#define FLAMINGOROUTE_REQUESTS_ROUTE_MATCH_HPP
+
+#include "flamingoroute/model/configuration.hpp"
+
+#include <optional>
+#include <string>
+
+namespace flamingoroute {
+
+/// The service and the route that take a request. Points into the configuration.
+struct route_match {
+    const service* wanted = nullptr;
+    const route* way = nullptr;
+};
+
+/// @param target path and query
+/// @return the route with the longest matching prefix that takes @p method, over all services
+std::optional<route_match> matchRoute(
+    const configuration& current, const std::string& method, const std::string& target);
+
+} // namespace flamingoroute
+
+#endif
