Add the upstream client: one typed outcome for each attempt

Cause: a request that may not be repeated must be written once at most, and POCO's own session connects anew and writes again on a reused connection, and reports a body that was cut as an ordinary end. So the client writes through a socket with one deadline that counts bytes, never lets the session connect, and checks the end of each body and header itself.

Answers that end only with the connection are taken as unknown: a killed upstream closes its connections just as an orderly end does.

--- a/src/flamingoroute/requests/caller_request.hpp
+++ b/src/flamingoroute/requests/caller_request.hpp
@@ -20,6 +20,7 @@
     std::string key; ///< what the caller presented; never forwarded or logged
     std::string idempotencyKey; ///< empty if the caller named none
     std::string clientAddress;
+    bool isRepeatable = false; ///< the route lets an upstream run it twice; set by the pipeline
     monotonic_time arrivedAt;
 
     bool operator==(const caller_request&) const = default;
--- /dev/null
+++ b/src/flamingoroute/requests/internal/upstream_connection.hpp
@@ -0,0 +1,52 @@
+#ifndef FLAMINGOROUTE_REQUESTS_INTERNAL_UPSTREAM_CONNECTION_HPP
+#define FLAMINGOROUTE_REQUESTS_INTERNAL_UPSTREAM_CONNECTION_HPP
+
+#include "flamingoroute/model/upstream.hpp"
+#include "flamingoroute/requests/internal/exchange_end.hpp"
+#include "flamingoroute/requests/upstream_client_options.hpp"
+
+#include <tl/expected.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace flamingoroute::internal {
+
+class deadline_socket;
+class upstream_session;
+
+/// One connection to an upstream; carries one exchange at a time. Used by one thread at a time.
+class upstream_connection {
+public:
+    /// @param deadline for the connect, besides the connect timeout
+    /// @return the open connection, or `unavailable` or `timeout`
+    static tl::expected<std::unique_ptr<upstream_connection>, error> open(
+        const upstream& target, const upstream_client_options& options, monotonic_time deadline);
+    ~upstream_connection();
+
+    /// Writes @p request and reads its answer. Never connects anew and never writes twice.
+    /// @param request a whole HTTP/1.1 request
+    /// @param isHead whether the answer has no body
+    /// @param firstByteBy an earlier deadline for the first byte of the answer
+    exchange_end exchange(const std::string& request, bool isHead, monotonic_time deadline,
+        std::optional<monotonic_time> firstByteBy = std::nullopt);
+
+    /// @return whether it is idle as it should be: no late byte, not closed
+    bool isIdle() const;
+
+    monotonic_time lastAnswerAt() const { return m_lastAnswerAt; }
+
+private:
+    upstream_connection(std::string peer, deadline_socket* socket, std::unique_ptr<upstream_session> session);
+    exchange_end readAnswer(bool isHead);
+
+    std::string m_peer;
+    deadline_socket* m_socket; ///< owned by the session
+    std::unique_ptr<upstream_session> m_session;
+    monotonic_time m_lastAnswerAt;
+};
+
+} // namespace flamingoroute::internal
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/requests/upstream_client.hpp
@@ -0,0 +1,42 @@
+#ifndef FLAMINGOROUTE_REQUESTS_UPSTREAM_CLIENT_HPP
+#define FLAMINGOROUTE_REQUESTS_UPSTREAM_CLIENT_HPP
+
+#include "flamingoroute/model/upstream.hpp"
+#include "flamingoroute/requests/attempt_result.hpp"
+#include "flamingoroute/requests/caller_request.hpp"
+#include "flamingoroute/requests/upstream_client_options.hpp"
+
+#include <memory>
+
+namespace flamingoroute {
+
+/// Sends requests to upstreams over pooled HTTP connections, one exchange at a time on each.
+///
+/// An answer is whole only by Content-Length or by the last chunk: an answer that ends with the connection cannot be
+/// told from one that was cut, so its outcome is unknown. A connection with an unfinished answer is closed.
+class upstream_client {
+public:
+    explicit upstream_client(upstream_client_options options = {});
+    ~upstream_client();
+    upstream_client(const upstream_client&) = delete;
+    upstream_client& operator=(const upstream_client&) = delete;
+
+    /// Sends the request once; a repeatable one moves to a new connection if a pooled one stays silent.
+    /// Safe to call from many threads.
+    /// @param target whom to send to
+    /// @param request without credentials
+    /// @param deadline the connection is closed if no whole answer came by then
+    /// @return `not_sent` only if no byte was written, `refused` only if the upstream said that it did not run it
+    attempt_result attempt(const upstream& target, const caller_request& request, monotonic_time deadline);
+
+    /// @return connections open now, to all upstreams
+    int openConnections() const;
+
+private:
+    struct state;
+    std::unique_ptr<state> m_state;
+};
+
+} // namespace flamingoroute
+
+#endif
