--- /dev/null
+++ b/src/flamingoroute/runtime/configuration_holder.hpp
@@ -0,0 +1,25 @@
+#ifndef FLAMINGOROUTE_RUNTIME_CONFIGURATION_HOLDER_HPP
+#define FLAMINGOROUTE_RUNTIME_CONFIGURATION_HOLDER_HPP
+
+#include "flamingoroute/model/configuration.hpp"
+
+#include <atomic>
+#include <memory>
+
+namespace flamingoroute {
+
+/// The configuration in force, swapped by pointer; readers take no lock for longer than the copy of a pointer.
+class configuration_holder {
+public:
+    /// @return the configuration in force, or null before the first
+    configuration_ptr get() const { return m_current.load(); }
+
+    void set(configuration_ptr current) { m_current.store(std::move(current)); }
+
+private:
+    std::atomic<configuration_ptr> m_current;
+};
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/runtime/http_host.cpp
@@ -0,0 +1,107 @@
+#include "flamingoroute/runtime/http_host.hpp"
+
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/ThreadPool.h>
+
+#include <thread>
+
+namespace flamingoroute {
+
+namespace {
+
+constexpr int listenBacklog = 1024;
+constexpr milliseconds stopPoll { 10 };
+
+class function_handler : public Poco::Net::HTTPRequestHandler {
+public:
+    explicit function_handler(const http_host::request_handler& handler)
+        : m_handler(handler)
+    {
+    }
+
+    void handleRequest(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response) override
+    {
+        m_handler(request, response);
+    }
+
+private:
+    const http_host::request_handler& m_handler;
+};
+
+class function_handler_factory : public Poco::Net::HTTPRequestHandlerFactory {
+public:
+    explicit function_handler_factory(http_host::request_handler handler)
+        : m_handler(std::move(handler))
+    {
+    }
+
+    Poco::Net::HTTPRequestHandler* createRequestHandler(const Poco::Net::HTTPServerRequest&) override
+    {
+        return new function_handler(m_handler);
+    }
+
+private:
+    http_host::request_handler m_handler;
+};
+
+Poco::Timespan timespanOf(milliseconds duration) { return Poco::Timespan(duration.count() * 1000); }
+
+} // namespace
+
+struct http_host::state {
+    std::unique_ptr<Poco::ThreadPool> threads;
+    std::unique_ptr<Poco::Net::HTTPServer> server;
+};
+
+http_host::http_host()
+    : m_state(std::make_unique<state>())
+{
+}
+
+http_host::~http_host() { stop(milliseconds { 0 }); }
+
+tl::expected<void, error> http_host::start(
+    const endpoint& where, const http_host_options& options, request_handler handler)
+{
+    try {
+        Poco::Net::HTTPServerParams::Ptr params(new Poco::Net::HTTPServerParams);
+        params->setMaxThreads(options.threads);
+        params->setMaxQueued(options.queuedConnections);
+        params->setTimeout(timespanOf(options.timeout));
+        params->setKeepAlive(true);
+        params->setKeepAliveTimeout(timespanOf(options.keepAliveTimeout));
+        params->setMaxKeepAliveRequests(0);
+        const Poco::Net::SocketAddress address(where.address, where.port);
+        const Poco::Net::ServerSocket socket(address, listenBacklog);
+        const int spareThreads = 2;
+        m_state->threads = std::make_unique<Poco::ThreadPool>(2, options.threads + spareThreads);
+        Poco::Net::HTTPRequestHandlerFactory::Ptr factory(new function_handler_factory(std::move(handler)));
+        m_state->server = std::make_unique<Poco::Net::HTTPServer>(factory, *m_state->threads, socket, params);
+        m_state->server->start();
+    } catch (const Poco::Exception& problem) {
+        return tl::unexpected(error { error_code::unavailable, "http.listen", toString(where), problem.displayText() });
+    }
+    return {};
+}
+
+void http_host::stop(milliseconds patience)
+{
+    if (!m_state->server)
+        return;
+    m_state->server->stop();
+    const auto giveUpAt = monotonicNow() + patience;
+    while (m_state->server->currentConnections() > 0 && monotonicNow() < giveUpAt)
+        std::this_thread::sleep_for(stopPoll);
+    const bool cutConnections = true;
+    m_state->server->stopAll(cutConnections);
+    m_state->threads->joinAll();
+    m_state->server.reset();
+}
+
+int http_host::connectionCount() const { return m_state->server ? m_state->server->currentConnections() : 0; }
+
+} // namespace flamingoroute
--- /dev/null
+++ b/src/flamingoroute/runtime/incarnation_clock.hpp
@@ -0,0 +1,14 @@
+#ifndef FLAMINGOROUTE_RUNTIME_INCARNATION_CLOCK_HPP
+#define FLAMINGOROUTE_RUNTIME_INCARNATION_CLOCK_HPP
+
+#include "flamingoroute/model/ids.hpp"
+
+namespace flamingoroute {
+
+/// @return the incarnation for a process that starts now: microseconds since 1970, so that it grows
+/// from one start to the next on machines that keep nothing
+incarnation newIncarnation();
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/runtime/member_directory.hpp
@@ -0,0 +1,36 @@
+#ifndef FLAMINGOROUTE_RUNTIME_MEMBER_DIRECTORY_HPP
+#define FLAMINGOROUTE_RUNTIME_MEMBER_DIRECTORY_HPP
+
+#include "flamingoroute/model/member.hpp"
+#include "flamingoroute/peers/envelope.hpp"
+
+#include <map>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+namespace flamingoroute {
+
+/// Where the processes of each known instance are reached. Safe to use from any thread.
+class member_directory {
+public:
+    /// Adds an instance, or replaces what is known of it.
+    void put(const member& known);
+
+    /// @return the member, or nothing if it is unknown
+    std::optional<member> find(const instance_id& instance) const;
+
+    /// @return the nng address of a process of @p instance, or nothing if it is unknown
+    std::optional<endpoint> addressOf(const instance_id& instance, process_role role) const;
+
+    /// @return all known instances, sorted by id
+    std::vector<member> all() const;
+
+private:
+    mutable std::mutex m_mutex;
+    std::map<instance_id, member> m_members;
+};
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/runtime/stop_signal.hpp
@@ -0,0 +1,23 @@
+#ifndef FLAMINGOROUTE_RUNTIME_STOP_SIGNAL_HPP
+#define FLAMINGOROUTE_RUNTIME_STOP_SIGNAL_HPP
+
+#include "flamingoroute/model/monotonic_time.hpp"
+
+namespace flamingoroute {
+
+/// Blocks SIGTERM and SIGINT in all threads started later, and lets one thread wait for them.
+/// Construct it before any other thread starts. SIGPIPE is ignored.
+class stop_signal {
+public:
+    stop_signal();
+
+    /// Waits for SIGTERM or SIGINT.
+    void wait();
+
+    /// @return whether a signal came within @p patience
+    bool waitFor(milliseconds patience);
+};
+
+} // namespace flamingoroute
+
+#endif
