--- /dev/null
+++ b/src/flamingoroute/admin/admin_server.hpp
@@ -0,0 +1,33 @@
+#ifndef FLAMINGOROUTE_ADMIN_ADMIN_SERVER_HPP
+#define FLAMINGOROUTE_ADMIN_ADMIN_SERVER_HPP
+
+#include "flamingoroute/admin/admin_registry.hpp"
+#include "flamingoroute/admin/operator_tokens.hpp"
+#include "flamingoroute/runtime/http_host.hpp"
+
+namespace flamingoroute {
+
+/// The HTTP side towards operators: checks the operator's token (Authorization: Bearer TOKEN), reads the call and
+/// hands it to the registry.
+class admin_server {
+public:
+    admin_server(operator_tokens tokens, admin_registry registry);
+
+    /// @return `unavailable` if the address cannot be used
+    tl::expected<void, error> start(const endpoint& where);
+
+    /// Ends calls in service after @p patience at the latest.
+    void stop(milliseconds patience);
+
+private:
+    void handle(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response) const;
+    admin_answer answerTo(Poco::Net::HTTPServerRequest& request) const;
+
+    operator_tokens m_tokens;
+    admin_registry m_registry;
+    http_host m_host;
+};
+
+} // namespace flamingoroute
+
+#endif
