--- /dev/null
+++ b/src/flamingoroute/steering/steering_identity.hpp
@@ -0,0 +1,20 @@
+#ifndef FLAMINGOROUTE_STEERING_STEERING_IDENTITY_HPP
+#define FLAMINGOROUTE_STEERING_STEERING_IDENTITY_HPP
+
+#include "flamingoroute/model/ids.hpp"
+
+namespace flamingoroute {
+
+/// Who steers: an instance and where it is.
+struct steering_identity {
+    instance_id instance;
+    incarnation ownIncarnation = 0;
+    failure_domain_id failureDomain;
+    region_id region;
+
+    bool operator==(const steering_identity&) const = default;
+};
+
+} // namespace flamingoroute
+
+#endif
