--- /dev/null
+++ b/src/flamingoroute/config/object_codec.hpp
@@ -0,0 +1,57 @@
+#ifndef FLAMINGOROUTE_CONFIG_OBJECT_CODEC_HPP
+#define FLAMINGOROUTE_CONFIG_OBJECT_CODEC_HPP
+
+#include "flamingoroute/model/configuration.hpp"
+#include "flamingoroute/settings/problem.hpp"
+
+#include <Poco/JSON/Object.h>
+#include <tl/expected.hpp>
+
+#include <functional>
+#include <string>
+
+namespace flamingoroute {
+
+/// Objects as JSON: {"kind": "upstream", "name": "m-1", ...}, field names in snake case with units.
+/// A set is {"objects": [...]}. Unknown fields are problems, and all problems are told at once.
+
+/// Adds one object to a set; a set read this way is not sorted until sortObjects is called.
+/// @param object with "kind" and "name"
+/// @param path names the object in problems, for example "objects[3]"
+/// @return false if problems were added
+bool readObjectInto(
+    configuration& objects, const Poco::JSON::Object::Ptr& object, const std::string& path, problem_list& problems);
+
+/// Sorts each kind by name.
+void sortObjects(configuration& objects);
+
+/// @param text {"objects": [...]}; comments are allowed
+/// @param origin names the text in problems
+/// @return the sorted set, or every problem
+tl::expected<configuration, problem_list> parseConfiguration(const std::string& text, const std::string& origin);
+
+/// @return {"objects": [...]}, the same text for the same set
+std::string writeConfiguration(const configuration& objects);
+
+/// Called for each object: kind, name and the object as JSON.
+using object_visitor
+    = std::function<void(const std::string& kind, const std::string& name, const Poco::JSON::Object::Ptr& object)>;
+
+/// Visits each object in the order of kinds and names.
+void forEachObject(const configuration& objects, const object_visitor& visit);
+
+/// Removes an object.
+/// @return false if there is none
+bool removeObject(configuration& objects, const std::string& kind, const std::string& name);
+
+/// @param unixMs milliseconds since 1970 UTC
+/// @return RFC 3339 in UTC with milliseconds, for example "2026-12-04T09:30:00.000Z"
+std::string formatUtc(std::int64_t unixMs);
+
+/// @param text RFC 3339 with any offset
+/// @return false if @p text is not of that form; @p unixMs is untouched then
+bool parseUtc(const std::string& text, std::int64_t& unixMs);
+
+} // namespace flamingoroute
+
+#endif
