Add claims: a request with an Idempotency-Key runs at most once

Cause: a caller sends an order again, through another instance, while the first sending runs, after its instance died, or while the store loses answers. The right to run is a claim object created in the platform's store before the first byte leaves; a write whose answer was lost is read back by writer and sequence; the claim of an unknown outcome stays and is never run again; that of a request which surely did not run is deleted by its version.

Ruled out: taking over the claim of a silent instance after a time.

With the platform down the request is refused as not run; this speaks of the sending refused, like every refusal before the claim is asked for.

--- a/src/flamingoroute/model/refusal.cpp
+++ b/src/flamingoroute/model/refusal.cpp
@@ -12,7 +12,7 @@
     int status;
 };
 
-constexpr std::array<reason_row, 13> reasonRows { {
+constexpr std::array<reason_row, 16> reasonRows { {
     { refusal_reason::malformed_request, "malformed_request", 400 },
     { refusal_reason::unknown_route, "unknown_route", 404 },
     { refusal_reason::missing_key, "missing_key", 401 },
@@ -22,6 +22,9 @@
     { refusal_reason::no_healthy_upstream, "no_healthy_upstream", 503 },
     { refusal_reason::deadline_passed, "deadline_passed", 503 },
     { refusal_reason::duplicate_in_progress, "duplicate_in_progress", 409 },
+    { refusal_reason::idempotency_key_reused, "idempotency_key_reused", 422 },
+    { refusal_reason::already_ran, "already_ran", 409 },
+    { refusal_reason::unclaimable, "unclaimable", 503 },
     { refusal_reason::quarantined, "quarantined", 503 },
     { refusal_reason::not_ready, "not_ready", 503 },
     { refusal_reason::upstream_outcome_unknown, "upstream_outcome_unknown", 504 },
--- a/src/flamingoroute/model/refusal.hpp
+++ b/src/flamingoroute/model/refusal.hpp
@@ -18,6 +18,9 @@
     no_healthy_upstream,
     deadline_passed,
     duplicate_in_progress,
+    idempotency_key_reused, ///< the same Idempotency-Key came with another request
+    already_ran, ///< an earlier sending ran and its answer is not kept
+    unclaimable, ///< the platform could not be asked whether an earlier sending ran
     quarantined,
     not_ready,
     upstream_outcome_unknown,
--- /dev/null
+++ b/src/flamingoroute/requests/claim_attempt.cpp
@@ -0,0 +1,129 @@
+#include "flamingoroute/requests/claim_attempt.hpp"
+
+namespace flamingoroute {
+
+claim_attempt::claim_attempt(claim_record mine, claim_limits limits)
+    : m_mine(std::move(mine))
+    , m_limits(limits)
+    , m_wait(limits.firstWait)
+{
+}
+
+void claim_attempt::onCreated(const tl::expected<object_version, error>& result)
+{
+    ++m_creates;
+    if (result)
+        return run(*result);
+    switch (result.error().code) {
+    case error_code::conflict:
+        m_hasSeenOther = true;
+        m_next = claim_step::read;
+        return;
+    case error_code::unavailable:
+        if (m_isOwnFateUnknown)
+            return readAgain();
+        return refuse(refusal_reason::unclaimable, execution_state::not_run, "the platform cannot be reached");
+    default:
+        m_isOwnFateUnknown = true;
+        m_next = claim_step::read;
+    }
+}
+
+void claim_attempt::onRead(const tl::expected<stored_object, error>& result)
+{
+    ++m_reads;
+    if (result)
+        return judge(*result);
+    if (result.error().code == error_code::not_found)
+        return createAgain();
+    readAgain();
+}
+
+void claim_attempt::onWaited()
+{
+    m_wait *= 2;
+    m_next = claim_step::read;
+}
+
+void claim_attempt::onDeadline()
+{
+    if (m_next != claim_step::done)
+        giveUp();
+}
+
+void claim_attempt::judge(const stored_object& object)
+{
+    const auto record = decodeClaim(object.value);
+    if (!record)
+        return refuse(refusal_reason::upstream_outcome_unknown, execution_state::unknown, "the claim cannot be read");
+    if (record->writer == m_mine.writer && record->sequence == m_mine.sequence)
+        return run(object.version);
+    m_hasSeenOther = true;
+    judgeOther(*record);
+}
+
+void claim_attempt::judgeOther(const claim_record& other)
+{
+    if (other.fingerprint != m_mine.fingerprint)
+        return refuse(refusal_reason::idempotency_key_reused, execution_state::not_run,
+            "another request came with this Idempotency-Key");
+    if (other.state == claim_state::answered && other.answer) {
+        m_decision.earlierAnswer = other.answer;
+        m_next = claim_step::done;
+        return;
+    }
+    if (other.state == claim_state::answered)
+        return refuse(refusal_reason::already_ran, execution_state::ran, "an earlier sending ran");
+    if (other.state == claim_state::unknown)
+        return refuse(refusal_reason::upstream_outcome_unknown, execution_state::unknown,
+            "an earlier sending may have run and will not be run again");
+    m_isOtherRunning = true;
+    readAgain();
+}
+
+void claim_attempt::readAgain()
+{
+    if (m_reads >= m_limits.maxReads)
+        return giveUp();
+    m_next = claim_step::wait;
+}
+
+void claim_attempt::createAgain()
+{
+    m_hasSeenOther = false;
+    m_isOtherRunning = false;
+    if (m_creates >= m_limits.maxCreates)
+        return giveUp();
+    m_next = claim_step::create;
+}
+
+void claim_attempt::giveUp()
+{
+    if (m_isOtherRunning)
+        return refuse(refusal_reason::duplicate_in_progress, execution_state::unknown,
+            "an earlier sending is running, or its instance died; it may have run");
+    if (m_hasSeenOther)
+        return refuse(refusal_reason::upstream_outcome_unknown, execution_state::unknown,
+            "an earlier sending may have run; its claim cannot be read now");
+    refuse(refusal_reason::unclaimable, execution_state::not_run, "the platform did not confirm the claim");
+}
+
+void claim_attempt::run(object_version version)
+{
+    m_version = version;
+    m_decision.mayRun = true;
+    m_next = claim_step::done;
+}
+
+void claim_attempt::refuse(refusal_reason reason, execution_state execution, const std::string& detail)
+{
+    refusal why;
+    why.reason = reason;
+    why.execution = execution;
+    why.step = "claim";
+    why.detail = detail;
+    m_decision.refused = why;
+    m_next = claim_step::done;
+}
+
+} // namespace flamingoroute
--- /dev/null
+++ b/src/flamingoroute/requests/claim_attempt.hpp
@@ -0,0 +1,74 @@
+#ifndef FLAMINGOROUTE_REQUESTS_CLAIM_ATTEMPT_HPP
+#define FLAMINGOROUTE_REQUESTS_CLAIM_ATTEMPT_HPP
+
+#include "flamingoroute/model/error.hpp"
+#include "flamingoroute/requests/claim_decision.hpp"
+#include "flamingoroute/requests/claim_limits.hpp"
+#include "flamingoroute/requests/claim_record.hpp"
+#include "flamingoroute/store/stored_object.hpp"
+
+#include <tl/expected.hpp>
+
+namespace flamingoroute {
+
+/// What a claim attempt needs next.
+enum class claim_step {
+    create, ///< create the claim object
+    read, ///< read the claim object
+    wait, ///< wait, then read
+    done,
+};
+
+/// One sending's try to get the right to run its request. Pure: told of each result of the store, it names the next
+/// step. The right is given only if the store confirms that this sending's own write is the one that counts, so at most
+/// one sending gets it as long as the claim object lives.
+class claim_attempt {
+public:
+    /// @param mine the record to create; writer and sequence are this attempt's alone
+    claim_attempt(claim_record mine, claim_limits limits);
+
+    claim_step next() const { return m_next; }
+    microseconds waitTime() const { return m_wait; }
+    const claim_record& mine() const { return m_mine; }
+
+    void onCreated(const tl::expected<object_version, error>& result);
+    void onRead(const tl::expected<stored_object, error>& result);
+    void onWaited();
+
+    /// Ends the attempt without the right to run.
+    void onDeadline();
+
+    /// @return the outcome, if done
+    const claim_decision& decision() const { return m_decision; }
+
+    /// @return the version of this attempt's claim object, if it may run
+    object_version version() const { return m_version; }
+
+    /// @return whether a claim object of this attempt may exist, or come to exist, although it may not run
+    bool mayHaveLeftClaim() const { return !m_decision.mayRun && m_isOwnFateUnknown; }
+
+private:
+    void judge(const stored_object& object);
+    void judgeOther(const claim_record& other);
+    void readAgain();
+    void createAgain();
+    void giveUp();
+    void run(object_version version);
+    void refuse(refusal_reason reason, execution_state execution, const std::string& detail);
+
+    claim_record m_mine;
+    claim_limits m_limits;
+    claim_step m_next = claim_step::create;
+    microseconds m_wait;
+    claim_decision m_decision;
+    object_version m_version = 0;
+    int m_creates = 0;
+    int m_reads = 0;
+    bool m_isOwnFateUnknown = false;
+    bool m_hasSeenOther = false;
+    bool m_isOtherRunning = false;
+};
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/requests/claim_sweep.hpp
@@ -0,0 +1,23 @@
+#ifndef FLAMINGOROUTE_REQUESTS_CLAIM_SWEEP_HPP
+#define FLAMINGOROUTE_REQUESTS_CLAIM_SWEEP_HPP
+
+#include "flamingoroute/model/monotonic_time.hpp"
+#include "flamingoroute/store/stored_object.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace flamingoroute {
+
+/// @param claims of one kind
+/// @param wallSeconds the wall clock, seconds since 1970
+/// @param horizon how long a claim is kept
+/// @param most how many may be deleted at one time
+/// @return the claims to delete, by the version that was read
+std::vector<stored_object> expiredClaims(
+    const std::vector<stored_object>& claims, std::int64_t wallSeconds, seconds horizon, std::size_t most);
+
+} // namespace flamingoroute
+
+#endif
