Add the retry budget, the quarantine and the whole request pipeline

Cause: retries must never multiply load, never run an order twice, and one request that breaks each upstream must break few of them fleet-wide.

The pipeline asks for the claim before it queues, checks the key and the quarantine again when the request leaves the queue, tries again only after an attempt that surely did not run or on repeatable routes, and takes another token only for a second run. Once an attempt may have run, every later refusal says unknown. An unused slot is given back as such, so that it says nothing about the upstream.

In the test with 9 instances 100 sendings of a crashing request broke 2 upstreams; with 100 instances and 4 messages each all learned of it.

--- a/src/flamingoroute/requests/attempt_result.hpp
+++ b/src/flamingoroute/requests/attempt_result.hpp
@@ -11,6 +11,7 @@
 /// One attempt as it ended.
 struct attempt_result {
     attempt_outcome outcome = attempt_outcome::not_sent;
+    bool isSlotUnused = false; ///< no attempt was made, which says nothing about the upstream
     caller_answer answer; ///< if answered
     error failure; ///< if not answered
     microseconds duration { 0 };
--- a/src/flamingoroute/requests/internal/upstream_connection.cpp
+++ b/src/flamingoroute/requests/internal/upstream_connection.cpp
@@ -109,7 +109,7 @@
     std::string body;
     const auto ended = m_session->readBody(response, isHead, body);
     if (ended != body_end::whole || response.getStatus() < 200) {
-        end.failure = { error_code::unavailable, "upstream.read", m_peer,
+        end.failure = { error_code::unavailable, "upstream.answer", m_peer,
             std::string("the answer is not whole: ") + toString(ended) };
         return end;
     }
--- a/src/flamingoroute/requests/pipeline_hooks.hpp
+++ b/src/flamingoroute/requests/pipeline_hooks.hpp
@@ -66,6 +66,10 @@
         const customer_id& customer, const route& way, const caller_request& request, const upstream& target)>
         noteBrokenAttempt;
 
+    /// Told of each whole answer, for the quarantine. May be empty.
+    std::function<void(const customer_id& customer, const route& way, const caller_request& request)>
+        noteAnsweredAttempt;
+
     /// Told of each request when it ends.
     std::function<void(const request_record& record)> observe;
 };
--- /dev/null
+++ b/src/flamingoroute/requests/quarantine_notice.hpp
@@ -0,0 +1,22 @@
+#ifndef FLAMINGOROUTE_REQUESTS_QUARANTINE_NOTICE_HPP
+#define FLAMINGOROUTE_REQUESTS_QUARANTINE_NOTICE_HPP
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <string>
+
+namespace flamingoroute {
+
+/// Tells other instances that an upstream broke off under a request with this fingerprint.
+struct quarantine_notice {
+    std::string fingerprint;
+    std::string upstreamName;
+    std::uint32_t ageMs = 0; ///< since the upstream broke off, added up along the way
+
+    bool operator==(const quarantine_notice&) const = default;
+    MSGPACK_DEFINE(fingerprint, upstreamName, ageMs)
+};
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/requests/quarantine_table.hpp
@@ -0,0 +1,54 @@
+#ifndef FLAMINGOROUTE_REQUESTS_QUARANTINE_TABLE_HPP
+#define FLAMINGOROUTE_REQUESTS_QUARANTINE_TABLE_HPP
+
+#include "flamingoroute/model/ids.hpp"
+#include "flamingoroute/model/monotonic_time.hpp"
+#include "flamingoroute/requests/quarantine_limits.hpp"
+#include "flamingoroute/requests/quarantine_notice.hpp"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace flamingoroute {
+
+/// Knows which requests break the upstreams that run them. Pure; every instance holds one, and they tell each other of
+/// each broken attempt, so that a request repeated through any instances breaks few upstreams fleet-wide.
+class quarantine_table {
+public:
+    explicit quarantine_table(quarantine_limits limits);
+
+    /// Told that an upstream broke off under a request, here or elsewhere.
+    /// @param age time since then
+    /// @return whether this is news that other instances should hear
+    bool noteBroken(const std::string& fingerprint, const upstream_id& target, microseconds age, monotonic_time now);
+
+    /// Told of a whole answer: the request does not break upstreams, it only ran beside one that does.
+    void noteAnswered(const std::string& fingerprint, monotonic_time now);
+
+    /// @return for how long such requests are still held off, or nothing if they may run
+    std::optional<microseconds> quarantinedFor(const std::string& fingerprint, monotonic_time now) const;
+
+    /// @return whether nothing is known of any request
+    bool empty() const { return m_entries.empty(); }
+
+    std::size_t size() const { return m_entries.size(); }
+
+private:
+    struct entry {
+        std::map<upstream_id, monotonic_time> broken;
+        monotonic_time lastBroken = monotonic_time::min();
+        monotonic_time quarantinedUntil = monotonic_time::min();
+    };
+
+    void forgetOld(monotonic_time now);
+    void makeRoom();
+
+    quarantine_limits m_limits;
+    std::map<std::string, entry> m_entries;
+};
+
+} // namespace flamingoroute
+
+#endif
--- a/src/flamingoroute/requests/request_pipeline.cpp
+++ b/src/flamingoroute/requests/request_pipeline.cpp
@@ -4,7 +4,6 @@
 
 #include <Poco/JSON/Object.h>
 
-#include <algorithm>
 #include <sstream>
 
 namespace flamingoroute {
@@ -12,11 +11,22 @@
 namespace {
 
 constexpr int maxAttempts = 3;
+constexpr std::size_t maxIdempotencyKeyBytes = 255;
+
+refusal notRun(refusal_reason reason, const std::string& step, const std::string& detail)
+{
+    refusal why;
+    why.reason = reason;
+    why.step = step;
+    why.detail = detail;
+    return why;
+}
 
 refusal unknownOutcome(const attempt_result& result)
 {
     refusal why;
-    why.reason = refusal_reason::upstream_outcome_unknown;
+    const bool isCut = result.failure.step == "upstream.answer";
+    why.reason = isCut ? refusal_reason::upstream_answer_incomplete : refusal_reason::upstream_outcome_unknown;
     why.execution = execution_state::unknown;
     why.step = result.failure.step;
     why.peer = result.failure.peer;
@@ -24,100 +34,250 @@
     return why;
 }
 
-refusal notRun(refusal_reason reason, const std::string& step, const std::string& detail)
+refusal upstreamRefused(const attempt_result& result)
 {
-    refusal why;
-    why.reason = reason;
-    why.step = step;
-    why.detail = detail;
+    const bool isShed = result.outcome == attempt_outcome::refused;
+    const auto reason = isShed ? refusal_reason::no_capacity : refusal_reason::no_healthy_upstream;
+    auto why = notRun(reason, result.failure.step, "no upstream took the request");
+    why.peer = result.failure.peer;
     return why;
 }
 
 } // namespace
 
 struct request_pipeline::progress {
+    caller_request request;
     configuration_ptr current;
     route_match match;
     monotonic_time deadline;
     request_record record;
+    std::vector<upstream_id> tried;
+    refusal last; ///< says why the last attempt failed; once unknown, it stays so
+    bool mayHaveRun = false;
+
+    const route& way() const { return *match.way; }
+    const customer_id& customer() const { return record.customer; }
+    bool needsClaim() const { return !way().isRepeatable && !request.idempotencyKey.empty(); }
+};
+
+/// Settles a claim when it goes; with an unknown outcome if nobody said better.
+class request_pipeline::held_claim {
+public:
+    held_claim(const pipeline_hooks& hooks, const progress& state)
+        : m_hooks(hooks)
+        , m_state(state)
+    {
+    }
+
+    ~held_claim()
+    {
+        if (m_hooks.settleClaim)
+            m_hooks.settleClaim(m_state.customer(), m_state.request, m_execution, m_answer);
+    }
+
+    held_claim(const held_claim&) = delete;
+    held_claim& operator=(const held_claim&) = delete;
+
+    void settle(execution_state execution, const caller_answer& answer)
+    {
+        m_execution = execution;
+        if (execution == execution_state::ran)
+            m_answer = answer;
+    }
+
+private:
+    const pipeline_hooks& m_hooks;
+    const progress& m_state;
+    execution_state m_execution = execution_state::unknown;
+    std::optional<caller_answer> m_answer;
 };
 
-request_pipeline::request_pipeline(pipeline_hooks hooks)
+request_pipeline::request_pipeline(pipeline_hooks hooks, retry_limits retries)
     : m_hooks(std::move(hooks))
+    , m_retries(retries)
 {
 }
 
 caller_answer request_pipeline::handle(const caller_request& request) const
 {
     progress state;
+    state.request = request;
     state.record.id = request.id;
-    caller_answer answer = serve(request, state);
+    caller_answer answer = serve(state);
     state.record.status = answer.status;
     state.record.total = m_hooks.now() - request.arrivedAt;
     m_hooks.observe(state.record);
     return answer;
 }
 
-caller_answer request_pipeline::serve(const caller_request& request, progress& state) const
+caller_answer request_pipeline::serve(progress& state) const
+{
+    const auto ready = findRoute(state)
+                           .and_then([&] { return checkIdempotencyKey(state); })
+                           .and_then([&] { return authenticate(state); })
+                           .and_then([&] { return checkQuarantine(state); })
+                           .and_then([&] { return admit(state); });
+    if (!ready)
+        return refuse(ready.error(), state);
+    {
+        const std::lock_guard lock(m_mutex);
+        m_retries.noteRequest(state.customer(), m_hooks.now());
+    }
+    if (state.needsClaim() && m_hooks.claim)
+        return serveClaimed(state);
+    return runAttempts(state);
+}
+
+request_pipeline::step_result request_pipeline::findRoute(progress& state) const
 {
     state.current = m_hooks.currentConfiguration();
     if (!state.current)
-        return refuse(notRun(refusal_reason::not_ready, "configuration", "no configuration is in force yet"), state);
-    const auto match = matchRoute(*state.current, request.method, request.target);
+        return tl::unexpected(notRun(refusal_reason::not_ready, "configuration", "no configuration is in force yet"));
+    const auto match = matchRoute(*state.current, state.request.method, state.request.target);
     if (!match)
-        return refuse(notRun(refusal_reason::unknown_route, "route", "no service takes this path"), state);
+        return tl::unexpected(notRun(refusal_reason::unknown_route, "route", "no service takes this path"));
     state.match = *match;
+    state.request.isRepeatable = match->way->isRepeatable;
     state.record.service = match->wanted->name;
     state.record.routeName = match->way->name;
-    state.deadline = request.arrivedAt + match->way->deadline;
-    if (!match->way->isOpen) {
-        const auto customer = m_hooks.authenticate(request.key);
-        if (!customer)
-            return refuse(customer.error(), state);
-        state.record.customer = *customer;
-        const auto admitted = m_hooks.admit(*customer, state.deadline);
-        if (!admitted)
-            return refuse(admitted.error(), state);
+    state.deadline = state.request.arrivedAt + match->way->deadline;
+    return {};
+}
+
+request_pipeline::step_result request_pipeline::checkIdempotencyKey(const progress& state) const
+{
+    const auto& key = state.request.idempotencyKey;
+    if (key.size() > maxIdempotencyKeyBytes)
+        return tl::unexpected(notRun(refusal_reason::malformed_request, "idempotency", "Idempotency-Key is too long"));
+    if (key.empty() && state.way().requiresIdempotencyKey)
+        return tl::unexpected(
+            notRun(refusal_reason::malformed_request, "idempotency", "this route needs an Idempotency-Key"));
+    return {};
+}
+
+request_pipeline::step_result request_pipeline::authenticate(progress& state) const
+{
+    if (state.way().isOpen)
+        return {};
+    const auto customer = m_hooks.authenticate(state.request.key);
+    if (!customer)
+        return tl::unexpected(customer.error());
+    if (!state.customer().empty() && state.customer() != *customer)
+        return tl::unexpected(notRun(refusal_reason::wrong_key, "key", "the key has changed hands"));
+    state.record.customer = *customer;
+    return {};
+}
+
+request_pipeline::step_result request_pipeline::checkQuarantine(const progress& state) const
+{
+    if (!m_hooks.checkQuarantine)
+        return {};
+    const auto held = m_hooks.checkQuarantine(state.customer(), state.way(), state.request);
+    if (held)
+        return tl::unexpected(*held);
+    return {};
+}
+
+request_pipeline::step_result request_pipeline::admit(const progress& state) const
+{
+    if (state.way().isOpen)
+        return {};
+    return m_hooks.admit(state.customer(), state.deadline);
+}
+
+caller_answer request_pipeline::serveClaimed(progress& state) const
+{
+    const auto decision = m_hooks.claim(state.customer(), state.request, *state.match.wanted, state.deadline);
+    if (decision.earlierAnswer) {
+        state.record.execution = execution_state::ran;
+        return *decision.earlierAnswer;
     }
-    return runAttempts(request, state);
+    if (!decision.mayRun)
+        return refuse(decision.refused.value_or(refusal {}), state);
+    held_claim claim(m_hooks, state);
+    caller_answer answer = runAttempts(state);
+    claim.settle(state.record.execution, answer);
+    return answer;
 }
 
-caller_answer request_pipeline::runAttempts(const caller_request& request, progress& state) const
+caller_answer request_pipeline::runAttempts(progress& state) const
 {
-    const auto& wanted = *state.match.wanted;
-    const auto& way = *state.match.way;
-    state.record.version = m_hooks.chooseVersion(wanted, way);
+    state.record.version = m_hooks.chooseVersion(*state.match.wanted, state.way());
     upstream_wish wish;
-    wish.service = wanted.name;
+    wish.service = state.record.service;
     wish.version = state.record.version;
-    wish.customer = state.record.customer;
-    wish.requestClass = way.requestClass;
+    wish.customer = state.customer();
+    wish.requestClass = state.way().requestClass;
     wish.deadline = state.deadline;
-    wish.requestBytes = request.body.size();
-    refusal last = notRun(refusal_reason::no_healthy_upstream, "attempt", "no upstream took the request");
-    while (state.record.attempts < maxAttempts) {
+    wish.requestBytes = state.request.body.size();
+    while (true) {
+        wish.tried = state.tried;
         const auto chosen = m_hooks.acquireUpstream(wish);
-        if (!chosen) {
-            const bool isFirst = state.record.attempts == 0;
-            return refuse(isFirst ? chosen.error() : last, state);
+        if (!chosen)
+            return refuse(state.record.attempts == 0 ? chosen.error() : state.last, state);
+        const auto ready = checkBeforeAttempt(state);
+        if (!ready) {
+            attempt_result unused;
+            unused.isSlotUnused = true;
+            m_hooks.releaseUpstream(*chosen, unused);
+            return refuse(state.mayHaveRun ? state.last : ready.error(), state);
         }
-        ++state.record.attempts;
-        state.record.upstream = chosen->target.name;
-        const auto result = m_hooks.attempt(chosen->target, request, state.deadline);
+        auto result = m_hooks.attempt(chosen->target, state.request, state.deadline);
         m_hooks.releaseUpstream(*chosen, result);
-        state.record.upstreamTime += result.duration;
-        if (result.outcome == attempt_outcome::answered) {
-            state.record.execution = execution_state::ran;
-            return result.answer;
-        }
-        if (!isSurelyNotRun(result.outcome)) {
-            last = unknownOutcome(result);
-            if (!way.isRepeatable)
-                return refuse(last, state);
-        }
-        wish.tried.push_back(chosen->target.name);
+        noteAttempt(state, *chosen, result);
+        if (result.outcome == attempt_outcome::answered)
+            return std::move(result.answer);
+        if (!mayRetry(state, result))
+            return refuse(state.last, state);
+    }
+}
+
+request_pipeline::step_result request_pipeline::checkBeforeAttempt(progress& state) const
+{
+    const auto now = m_hooks.now();
+    if (now >= state.deadline)
+        return tl::unexpected(notRun(refusal_reason::deadline_passed, "queue", "the deadline passed in the queue"));
+    const auto checked = authenticate(state).and_then([&] { return checkQuarantine(state); });
+    if (!checked)
+        return checked;
+    if (state.mayHaveRun && !state.way().isOpen)
+        return m_hooks.admit(state.customer(), now);
+    return {};
+}
+
+void request_pipeline::noteAttempt(progress& state, const chosen_upstream& chosen, const attempt_result& result) const
+{
+    ++state.record.attempts;
+    state.record.upstream = chosen.target.name;
+    state.record.upstreamTime += result.duration;
+    state.tried.push_back(chosen.target.name);
+    if (result.outcome == attempt_outcome::answered) {
+        state.record.execution = execution_state::ran;
+        if (m_hooks.noteAnsweredAttempt)
+            m_hooks.noteAnsweredAttempt(state.customer(), state.way(), state.request);
+        return;
+    }
+    if (isSurelyNotRun(result.outcome)) {
+        if (!state.mayHaveRun)
+            state.last = upstreamRefused(result);
+        return;
     }
-    return refuse(last, state);
+    state.mayHaveRun = true;
+    state.last = unknownOutcome(result);
+    const bool isBroken = result.failure.code != error_code::timeout;
+    if (isBroken && m_hooks.noteBrokenAttempt)
+        m_hooks.noteBrokenAttempt(state.customer(), state.way(), state.request, chosen.target);
+}
+
+bool request_pipeline::mayRetry(progress& state, const attempt_result& result) const
+{
+    if (state.record.attempts >= maxAttempts || (state.mayHaveRun && !state.way().isRepeatable))
+        return false;
+    // An attempt that was not sent and one that a leaving upstream refused put no load on an upstream.
+    if (result.outcome == attempt_outcome::not_sent || (isSurelyNotRun(result.outcome) && result.isUpstreamLeaving))
+        return true;
+    const std::lock_guard lock(m_mutex);
+    return m_retries.takeRetry(state.customer(), m_hooks.now());
 }
 
 caller_answer request_pipeline::refuse(const refusal& why, progress& state) const
--- a/src/flamingoroute/requests/request_pipeline.hpp
+++ b/src/flamingoroute/requests/request_pipeline.hpp
@@ -4,13 +4,19 @@
 #include "flamingoroute/requests/caller_answer.hpp"
 #include "flamingoroute/requests/caller_request.hpp"
 #include "flamingoroute/requests/pipeline_hooks.hpp"
+#include "flamingoroute/requests/retry_budget.hpp"
+
+#include <mutex>
 
 namespace flamingoroute {
 
-/// Takes a request from its route to its answer: key, claim, rate, version, upstream, attempts.
+/// Takes a request from its route to its answer: key, quarantine, rate, claim, version, upstream, attempts.
+///
+/// A request that may not be repeated gets another attempt only if the last one surely did not run it. The key is
+/// checked again after each wait in a queue. Hooks for claims and the quarantine may be empty.
 class request_pipeline {
 public:
-    explicit request_pipeline(pipeline_hooks hooks);
+    explicit request_pipeline(pipeline_hooks hooks, retry_limits retries = {});
 
     /// Safe to call from many threads. Blocks until the answer is there or the route's deadline has passed.
     /// @return the upstream's whole answer, or a refusal with the Flamingo-Execution header
@@ -18,12 +24,25 @@
 
 private:
     struct progress;
-
-    caller_answer serve(const caller_request& request, progress& state) const;
-    caller_answer runAttempts(const caller_request& request, progress& state) const;
+    class held_claim;
+    using step_result = tl::expected<void, refusal>;
+
+    caller_answer serve(progress& state) const;
+    step_result findRoute(progress& state) const;
+    step_result checkIdempotencyKey(const progress& state) const;
+    step_result authenticate(progress& state) const;
+    step_result checkQuarantine(const progress& state) const;
+    step_result admit(const progress& state) const;
+    caller_answer serveClaimed(progress& state) const;
+    caller_answer runAttempts(progress& state) const;
+    step_result checkBeforeAttempt(progress& state) const;
+    bool mayRetry(progress& state, const attempt_result& result) const;
+    void noteAttempt(progress& state, const chosen_upstream& chosen, const attempt_result& result) const;
     caller_answer refuse(const refusal& why, progress& state) const;
 
     pipeline_hooks m_hooks;
+    mutable std::mutex m_mutex;
+    mutable retry_budget m_retries;
 };
 
 /// @return the answer that stands for a refusal: status, Flamingo-Execution, Retry-After and a JSON body
--- /dev/null
+++ b/tests/unit/requests/quarantine_service_test.cpp
@@ -0,0 +1,132 @@
+#include "flamingoroute/requests/quarantine_service.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <memory>
+
+namespace flamingoroute::testing {
+
+namespace {
+
+/// Instances that tell each other of broken attempts at once.
+class fleet {
+public:
+    fleet(int count, quarantine_limits limits)
+    {
+        for (int i = 0; i < count; ++i) {
+            quarantine_hooks hooks;
+            hooks.now = [this] { return now; };
+            hooks.choosePeers = [this, i](std::size_t most) { return peersOf(i, most); };
+            hooks.send = [this](const instance_id& to, const quarantine_notice& notice) {
+                ++messages;
+                mail.emplace_back(std::stoi(to.value()), notice);
+            };
+            members.push_back(std::make_unique<quarantine_service>(limits, hooks));
+        }
+    }
+
+    void deliverAll()
+    {
+        while (!mail.empty()) {
+            const auto [to, notice] = mail.front();
+            mail.pop_front();
+            members[to]->receive(notice);
+        }
+    }
+
+    std::vector<std::unique_ptr<quarantine_service>> members;
+    std::deque<std::pair<int, quarantine_notice>> mail;
+    monotonic_time now { milliseconds { 0 } };
+    int messages = 0;
+
+private:
+    std::vector<instance_id> peersOf(int self, std::size_t most) const
+    {
+        std::vector<instance_id> peers;
+        for (std::size_t step = 1; step < members.size() && peers.size() < most; ++step)
+            peers.emplace_back(std::to_string((self + step) % members.size()));
+        return peers;
+    }
+};
+
+caller_request crasher()
+{
+    caller_request request;
+    request.method = "GET";
+    request.target = "/tickets/crash";
+    return request;
+}
+
+const customer_id mender("mender");
+const route tickets { "tickets", "/tickets", {}, true };
+
+} // namespace
+
+TEST(quarantine_service, bounds_the_upstreams_that_one_repeated_request_breaks_over_the_whole_fleet)
+{
+    fleet nine(9, {});
+    int broken = 0;
+    for (int sending = 0; sending < 100; ++sending) {
+        auto& through = *nine.members[sending % nine.members.size()];
+        if (through.check(mender, tickets, crasher()))
+            continue;
+        through.noteBroken(mender, tickets, crasher(), upstream_id("u" + std::to_string(++broken)));
+        nine.deliverAll();
+    }
+    EXPECT_EQ(broken, 2);
+    auto other = crasher();
+    other.target = "/tickets/7";
+    EXPECT_FALSE(nine.members[3]->check(mender, tickets, other));
+    EXPECT_FALSE(nine.members[3]->check(customer_id("other"), tickets, crasher()));
+}
+
+TEST(quarantine_service, says_clearly_that_a_quarantined_request_did_not_run_and_for_how_long)
+{
+    fleet one(1, {});
+    one.members[0]->noteBroken(mender, tickets, crasher(), upstream_id("a"));
+    EXPECT_FALSE(one.members[0]->check(mender, tickets, crasher()));
+    one.members[0]->noteBroken(mender, tickets, crasher(), upstream_id("b"));
+    const auto why = one.members[0]->check(mender, tickets, crasher());
+    ASSERT_TRUE(why);
+    EXPECT_EQ(why->reason, refusal_reason::quarantined);
+    EXPECT_EQ(why->execution, execution_state::not_run);
+    EXPECT_EQ(why->retryAfter, milliseconds { 600'000 });
+    one.now += seconds { 601 };
+    EXPECT_FALSE(one.members[0]->check(mender, tickets, crasher()));
+}
+
+TEST(quarantine_service, acquits_a_request_that_was_answered_in_between)
+{
+    fleet one(1, {});
+    one.members[0]->noteBroken(mender, tickets, crasher(), upstream_id("a"));
+    one.members[0]->noteAnswered(mender, tickets, crasher());
+    one.members[0]->noteBroken(mender, tickets, crasher(), upstream_id("b"));
+    EXPECT_FALSE(one.members[0]->check(mender, tickets, crasher()));
+}
+
+TEST(quarantine_service, spreads_one_notice_with_a_bounded_number_of_messages)
+{
+    quarantine_limits limits;
+    limits.fanout = 4;
+    fleet many(100, limits);
+    many.members[0]->noteBroken(mender, tickets, crasher(), upstream_id("a"));
+    many.members[0]->noteBroken(mender, tickets, crasher(), upstream_id("b"));
+    many.deliverAll();
+    EXPECT_LE(many.messages, 2 * 100 * 4);
+    EXPECT_TRUE(std::all_of(many.members.begin(), many.members.end(),
+        [](const auto& member) { return member->check(mender, tickets, crasher()).has_value(); }));
+}
+
+TEST(quarantine_table, forgets_the_oldest_beyond_its_bound)
+{
+    quarantine_limits limits;
+    limits.maxFingerprints = 10;
+    quarantine_table table(limits);
+    for (int i = 0; i < 1000; ++i)
+        table.noteBroken(std::to_string(i), upstream_id("a"), microseconds { 0 }, monotonic_time(milliseconds { i }));
+    EXPECT_EQ(table.size(), 10U);
+}
+
+} // namespace flamingoroute::testing
