Carry a request from caller to upstream through all processes

The thin path: flamingoctl publishes a checked set through the admin API of any instance, each instance takes it from the platform, a caller asks any instance which ones to use, and its request reaches an upstream and comes back whole.

--- a/apps/flamingo_control.cpp
+++ b/apps/flamingo_control.cpp
@@ -1,1 +1,17 @@
-int main() { return 0; }
+#include "flamingoroute/runtime/control_node.hpp"
+#include "flamingoroute/runtime/run_node.hpp"
+
+#include <gflags/gflags.h>
+
+DEFINE_string(settings, "", "settings file of the instance, JSON with comments");
+DEFINE_bool(check_settings, false, "check the settings file, say everything that is wrong, and end");
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("flamingo-control --settings=FILE [--check_settings]");
+    gflags::SetVersionString(FLAMINGOROUTE_VERSION);
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const auto code
+        = flamingoroute::runNode<flamingoroute::control_node>("flamingo-control", FLAGS_settings, FLAGS_check_settings);
+    return static_cast<int>(code);
+}
--- /dev/null
+++ b/src/flamingoroute/admin/queries/configuration_queries.hpp
@@ -0,0 +1,15 @@
+#ifndef FLAMINGOROUTE_ADMIN_QUERIES_CONFIGURATION_QUERIES_HPP
+#define FLAMINGOROUTE_ADMIN_QUERIES_CONFIGURATION_QUERIES_HPP
+
+#include "flamingoroute/admin/admin_registry.hpp"
+#include "flamingoroute/admin/configuration_access.hpp"
+
+namespace flamingoroute {
+
+/// Adds `configuration` (the whole set in force here), `objects` (kind, optionally name) and `trace` (which way a
+/// request would go: method, target).
+void addConfigurationQueries(admin_registry& registry, const configuration_access& access);
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/runtime/entry_node.cpp
@@ -0,0 +1,187 @@
+#include "flamingoroute/runtime/entry_node.hpp"
+
+#include "flamingoroute/peers/peer_bus.hpp"
+#include "flamingoroute/report/event_log.hpp"
+#include "flamingoroute/requests/request_pipeline.hpp"
+#include "flamingoroute/requests/upstream_client.hpp"
+#include "flamingoroute/runtime/caller_server.hpp"
+#include "flamingoroute/runtime/config_poll.hpp"
+#include "flamingoroute/runtime/configuration_holder.hpp"
+#include "flamingoroute/runtime/incarnation_clock.hpp"
+#include "flamingoroute/runtime/key_table.hpp"
+#include "flamingoroute/runtime/lookup_json.hpp"
+#include "flamingoroute/runtime/member_directory.hpp"
+#include "flamingoroute/runtime/message_router.hpp"
+#include "flamingoroute/steering/lookup_table.hpp"
+#include "flamingoroute/steering/upstream_pool.hpp"
+
+#include <atomic>
+#include <thread>
+
+namespace flamingoroute {
+
+namespace {
+
+constexpr milliseconds stopPoll { 20 };
+
+steering_identity identityOf(const member& self, incarnation own)
+{
+    return steering_identity { self.instance, own, self.failureDomain, self.region };
+}
+
+lookup_settings lookupSettings(const entry_options& options)
+{
+    lookup_settings settings;
+    settings.timeToLive = options.lookupTtl;
+    return settings;
+}
+
+} // namespace
+
+struct entry_node::parts {
+    explicit parts(instance_settings given)
+        : settings(std::move(given))
+        , own(newIncarnation())
+        , bus(settings.self.instance, process_role::entry, own)
+        , pool(identityOf(settings.self, own))
+        , pipeline(pipelineHooks())
+        , callers(settings.entry, settings.self.instance.value() + "-" + std::to_string(own) + "-", serverHooks())
+    {
+        directory.put(settings.self);
+        for (const auto& peer : settings.peers)
+            directory.put(peer);
+    }
+
+    pipeline_hooks pipelineHooks();
+    caller_server_hooks serverHooks();
+    void adopt(const configuration_ptr& current);
+    void rebuildLookups();
+    caller_answer lookUp(const std::string& clientAddress) const;
+
+    instance_settings settings;
+    incarnation own;
+    member_directory directory;
+    message_router router;
+    peer_bus bus;
+    configuration_holder holder;
+    key_table keys;
+    upstream_pool pool;
+    upstream_client client;
+    std::atomic<lookup_table_ptr> lookups;
+    request_pipeline pipeline;
+    caller_server callers;
+    std::unique_ptr<config_poll> config;
+    std::atomic<bool> isLeaving { false };
+};
+
+pipeline_hooks entry_node::parts::pipelineHooks()
+{
+    pipeline_hooks hooks;
+    hooks.now = monotonicNow;
+    hooks.currentConfiguration = [this] { return holder.get(); };
+    hooks.authenticate = [this](const std::string& key) { return keys.authenticate(key); };
+    hooks.admit = [](const customer_id&, monotonic_time) { return tl::expected<void, refusal> {}; };
+    hooks.chooseVersion = [](const service& wanted, const route&) { return wanted.currentVersion; };
+    hooks.acquireUpstream = [this](const upstream_wish& wish) { return pool.acquire(wish); };
+    hooks.releaseUpstream = [this](const auto& chosen, const auto& result) { pool.release(chosen, result); };
+    hooks.attempt = [this](const auto& target, const auto& request, auto deadline) {
+        return client.attempt(target, request, deadline);
+    };
+    hooks.claim = [](const auto&, const auto&, const auto&, auto) { return claim_decision { true, {}, {} }; };
+    hooks.settleClaim = [](const auto&, const auto&, auto, const auto&) {};
+    hooks.checkQuarantine = [](const auto&, const auto&, const auto&) { return std::optional<refusal> {}; };
+    hooks.noteBrokenAttempt = [](const auto&, const auto&, const auto&, const auto&) {};
+    hooks.observe = [](const request_record&) {};
+    return hooks;
+}
+
+caller_server_hooks entry_node::parts::serverHooks()
+{
+    caller_server_hooks hooks;
+    hooks.serve = [this](const caller_request& request) { return pipeline.handle(request); };
+    hooks.lookUp = [this](const std::string& clientAddress) { return lookUp(clientAddress); };
+    hooks.isReady = [this] { return holder.get() != nullptr && !isLeaving; };
+    return hooks;
+}
+
+caller_answer entry_node::parts::lookUp(const std::string& clientAddress) const
+{
+    const auto table = lookups.load();
+    if (!table) {
+        refusal why;
+        why.step = "lookup";
+        why.detail = "no configuration is in force yet";
+        return answerOf(why);
+    }
+    return lookupAnswerAsJson(table->lookup(clientAddress));
+}
+
+void entry_node::parts::rebuildLookups()
+{
+    const auto current = holder.get();
+    if (!current)
+        return;
+    std::vector<member> live;
+    for (const auto& known : directory.all()) {
+        if (!(isLeaving && known.instance == settings.self.instance))
+            live.push_back(known);
+    }
+    lookups.store(std::make_shared<const lookup_table>(
+        *current, std::move(live), settings.self.region, lookupSettings(settings.entry)));
+}
+
+void entry_node::parts::adopt(const configuration_ptr& current)
+{
+    keys.adopt(*current);
+    pool.adopt(current);
+    holder.set(current);
+    rebuildLookups();
+    event_line(log_level::info, "config.adopted").with("revision", current->number);
+}
+
+entry_node::entry_node(instance_settings settings)
+    : m_parts(std::make_unique<parts>(std::move(settings)))
+{
+}
+
+entry_node::~entry_node() = default;
+
+tl::expected<void, error> entry_node::start()
+{
+    auto& p = *m_parts;
+    const auto pepper = key_table::readPepper(p.settings.keyPepperFile);
+    if (!pepper)
+        return tl::unexpected(pepper.error());
+    p.keys.setPepper(*pepper);
+    const auto listening
+        = p.bus.listen(p.settings.self.entryAddress, [&p](const envelope& message) { p.router.route(message); });
+    if (!listening)
+        return listening;
+    p.config = std::make_unique<config_poll>(p.settings, [&p](const configuration_ptr& current) { p.adopt(current); });
+    const auto started = p.callers.start(p.settings.self.callerAddress);
+    if (!started)
+        return started;
+    event_line(log_level::info, "entry.started")
+        .with("callers", toString(p.settings.self.callerAddress))
+        .with("incarnation", p.own);
+    return {};
+}
+
+void entry_node::stop()
+{
+    auto& p = *m_parts;
+    event_line(log_level::info, "entry.stopping").with("active", p.callers.activeCount());
+    p.isLeaving = true;
+    p.rebuildLookups();
+    std::this_thread::sleep_for(p.settings.entry.lookupTtl);
+    p.callers.startDraining();
+    const auto giveUpAt = monotonicNow() + p.settings.entry.stopTimeout;
+    while (p.callers.activeCount() > 0 && monotonicNow() < giveUpAt)
+        std::this_thread::sleep_for(stopPoll);
+    p.callers.stop(std::chrono::duration_cast<milliseconds>(giveUpAt - monotonicNow()));
+    p.config.reset();
+    p.bus.stop();
+    event_line(log_level::info, "entry.stopped");
+}
+
+} // namespace flamingoroute
--- a/src/flamingoroute/settings/json_document.cpp
+++ b/src/flamingoroute/settings/json_document.cpp
@@ -2,17 +2,59 @@
 
 #include <Poco/JSON/Parser.h>
 
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 
 namespace flamingoroute {
 
+namespace {
+
+/// @return the position after the string that begins at @p at
+std::size_t endOfString(const std::string& text, std::size_t at)
+{
+    for (++at; at < text.size() && text[at] != '"'; ++at) {
+        if (text[at] == '\\')
+            ++at;
+    }
+    return at + 1;
+}
+
+/// @return the position after the comment that begins at @p at, or @p at if none does
+std::size_t endOfComment(const std::string& text, std::size_t at)
+{
+    if (text.compare(at, 2, "//") == 0)
+        return std::min(text.find('\n', at), text.size());
+    if (text.compare(at, 2, "/*") != 0)
+        return at;
+    const auto end = text.find("*/", at + 2);
+    return end == std::string::npos ? text.size() : end + 2;
+}
+
+/// Blanks comments out, so that positions in errors stay right; the parser itself takes no line comments.
+std::string withoutComments(std::string text)
+{
+    std::size_t at = 0;
+    while (at < text.size()) {
+        if (text[at] == '"') {
+            at = endOfString(text, at);
+            continue;
+        }
+        const auto end = endOfComment(text, at);
+        for (auto i = at; i < end; ++i)
+            text[i] = text[i] == '\n' ? '\n' : ' ';
+        at = std::max(end, at + 1);
+    }
+    return text;
+}
+
+} // namespace
+
 tl::expected<Poco::JSON::Object::Ptr, error> parseJsonObject(const std::string& text, const std::string& origin)
 {
     try {
         Poco::JSON::Parser parser;
-        parser.setAllowComments(true);
-        auto object = parser.parse(text).extract<Poco::JSON::Object::Ptr>();
+        auto object = parser.parse(withoutComments(text)).extract<Poco::JSON::Object::Ptr>();
         if (!object.isNull())
             return object;
     } catch (const Poco::Exception& problem) {
--- a/tests/unit/settings/json_reader_test.cpp
+++ b/tests/unit/settings/json_reader_test.cpp
@@ -22,6 +22,14 @@
     EXPECT_EQ(problems, expected);
 }
 
+TEST(json_document, takes_line_and_block_comments_but_not_inside_texts)
+{
+    const auto object = parseJsonObject("// first\n{ \"a\": \"x//y\", /* b */ \"c\": 1 } // last", "test");
+    ASSERT_TRUE(object) << describe(object.error());
+    EXPECT_EQ((*object)->getValue<std::string>("a"), "x//y");
+    EXPECT_EQ((*object)->getValue<int>("c"), 1);
+}
+
 TEST(json_reader, refuses_a_host_name_where_an_ip_number_is_needed)
 {
     const auto object = parseJsonObject("{ \"at\": \"localhost:80\" }", "test");
