Publish sets as content-addressed chunks under one head and adopt them whole

One conditional update of the head is the only commit point. Ruled out: ordering by the platform's versions (a restored platform counts from an older one).

--- /dev/null
+++ b/src/flamingoroute/config/config_author.hpp
@@ -0,0 +1,22 @@
+#ifndef FLAMINGOROUTE_CONFIG_CONFIG_AUTHOR_HPP
+#define FLAMINGOROUTE_CONFIG_CONFIG_AUTHOR_HPP
+
+#include "flamingoroute/model/ids.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace flamingoroute {
+
+/// Who published a revision. Writer and sequence together are unique.
+struct config_author {
+    revision number = 0;
+    std::string writer; ///< for example "flamingoctl/4711-8a1f"
+    std::uint64_t sequence = 0; ///< of the writer's publications
+
+    bool operator==(const config_author&) const = default;
+};
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/config/config_chunks.cpp
@@ -0,0 +1,82 @@
+#include "flamingoroute/config/config_chunks.hpp"
+
+#include "flamingoroute/config/content_hash.hpp"
+#include "flamingoroute/config/object_codec.hpp"
+#include "flamingoroute/config/object_kinds.hpp"
+
+#include <bit>
+
+namespace flamingoroute {
+
+namespace {
+
+constexpr std::size_t objectsPerBucket = 128;
+constexpr std::size_t hysteresisFactor = 4;
+constexpr std::uint64_t fnvOffset = 0xcbf29ce484222325ULL;
+constexpr std::uint64_t fnvPrime = 0x100000001b3ULL;
+constexpr int mixShiftBits = 32;
+
+std::size_t bucketCountFor(std::size_t objects, std::size_t previous)
+{
+    const bool isPreviousFit = previous > 0 && objects <= previous * objectsPerBucket * hysteresisFactor
+        && objects * hysteresisFactor >= previous * objectsPerBucket;
+    return isPreviousFit ? previous : std::bit_ceil(std::max<std::size_t>(1, objects / objectsPerBucket));
+}
+
+std::size_t previousCount(const std::vector<bucket_list>& previous, const std::string& kind)
+{
+    for (const auto& list : previous) {
+        if (list.kind == kind)
+            return list.hashes.size();
+    }
+    return 0;
+}
+
+template <typename Object> std::vector<Object>& listOf(configuration& objects)
+{
+    std::vector<Object>* found = nullptr;
+    visitKinds(objects, [&found](const char*, auto& list) {
+        if constexpr (std::is_same_v<std::decay_t<decltype(list)>, std::vector<Object>>)
+            found = &list;
+    });
+    return *found;
+}
+
+template <typename Object>
+void cutKind(
+    const char* kind, const std::vector<Object>& objects, const std::vector<bucket_list>& previous, config_chunks& cut)
+{
+    if (objects.empty())
+        return;
+    std::vector<configuration> parts(bucketCountFor(objects.size(), previousCount(previous, kind)));
+    for (const auto& object : objects)
+        listOf<Object>(parts[bucketOf(nameOf(object), parts.size())]).push_back(object);
+    bucket_list list { kind, std::vector<std::string>(parts.size()) };
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+        if (listOf<Object>(parts[i]).empty())
+            continue;
+        std::string content = writeConfiguration(parts[i]);
+        list.hashes[i] = contentHash(content);
+        cut.contents.emplace(list.hashes[i], std::move(content));
+    }
+    cut.buckets.push_back(std::move(list));
+}
+
+} // namespace
+
+std::size_t bucketOf(const std::string& name, std::size_t bucketCount)
+{
+    std::uint64_t hash = fnvOffset;
+    for (const unsigned char byte : name)
+        hash = (hash ^ byte) * fnvPrime;
+    return (hash ^ (hash >> mixShiftBits)) & (bucketCount - 1);
+}
+
+config_chunks cutIntoChunks(const configuration& objects, const std::vector<bucket_list>& previous)
+{
+    config_chunks cut;
+    visitKinds(objects, [&](const char* kind, const auto& list) { cutKind(kind, list, previous, cut); });
+    return cut;
+}
+
+} // namespace flamingoroute
--- /dev/null
+++ b/src/flamingoroute/config/config_chunks.hpp
@@ -0,0 +1,29 @@
+#ifndef FLAMINGOROUTE_CONFIG_CONFIG_CHUNKS_HPP
+#define FLAMINGOROUTE_CONFIG_CONFIG_CHUNKS_HPP
+
+#include "flamingoroute/config/bucket_list.hpp"
+#include "flamingoroute/model/configuration.hpp"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace flamingoroute {
+
+/// A configuration cut into immutable chunks, each named by the hash of its content.
+struct config_chunks {
+    std::vector<bucket_list> buckets;
+    std::map<std::string, std::string> contents; ///< by hash
+};
+
+/// @param bucketCount a power of two
+/// @return the bucket of an object, the same on every machine
+std::size_t bucketOf(const std::string& name, std::size_t bucketCount);
+
+/// Cuts a set into chunks of some 128 objects, so that one change re-sends one small chunk.
+/// @param previous the buckets in force; their counts are kept while chunks stay between a quarter and four times that
+config_chunks cutIntoChunks(const configuration& objects, const std::vector<bucket_list>& previous);
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/config/config_head.hpp
@@ -0,0 +1,44 @@
+#ifndef FLAMINGOROUTE_CONFIG_CONFIG_HEAD_HPP
+#define FLAMINGOROUTE_CONFIG_CONFIG_HEAD_HPP
+
+#include "flamingoroute/config/bucket_list.hpp"
+#include "flamingoroute/config/config_author.hpp"
+#include "flamingoroute/config/config_position.hpp"
+#include "flamingoroute/model/error.hpp"
+
+#include <tl/expected.hpp>
+
+#include <string>
+#include <vector>
+
+namespace flamingoroute {
+
+/// Names of the platform's objects that hold the configuration.
+inline constexpr const char* configHeadKind = "config_head";
+inline constexpr const char* configHeadName = "head";
+inline constexpr const char* configChunkKind = "config_chunk";
+
+/// The object whose conditional update publishes a configuration.
+struct config_head {
+    revision number = 0;
+    config_author author;
+    std::vector<config_author> earlierAuthors; ///< of the last revisions, newest first, so that a writer whose answer
+                                               ///< was lost finds its publication below a later one
+    std::vector<bucket_list> buckets;
+
+    bool operator==(const config_head&) const = default;
+};
+
+/// @return @p head as the platform's value and as peers send it
+std::string writeHead(const config_head& head);
+
+/// @return the head, or `invalid_input`
+tl::expected<config_head, error> parseHead(const std::string& value);
+
+/// @param value what writeHead returned
+/// @return revision and hash of the head
+config_position positionOf(const config_head& head, const std::string& value);
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/config/content_hash.hpp
@@ -0,0 +1,13 @@
+#ifndef FLAMINGOROUTE_CONFIG_CONTENT_HASH_HPP
+#define FLAMINGOROUTE_CONFIG_CONTENT_HASH_HPP
+
+#include <string>
+
+namespace flamingoroute {
+
+/// @return the first 128 bits of the SHA-256 of @p content as lower-case hex; names immutable content
+std::string contentHash(const std::string& content);
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/config/replica_peers.hpp
@@ -0,0 +1,21 @@
+#ifndef FLAMINGOROUTE_CONFIG_REPLICA_PEERS_HPP
+#define FLAMINGOROUTE_CONFIG_REPLICA_PEERS_HPP
+
+#include "flamingoroute/config/config_source.hpp"
+
+#include <vector>
+
+namespace flamingoroute {
+
+/// Whom a replica gossips with.
+struct replica_peers {
+    std::vector<config_source> local; ///< other processes in the failure domain, those of the own instance included
+    std::vector<config_source> remote; ///< bridges of other failure domains; empty unless this instance is a bridge
+    std::vector<config_source> any; ///< everyone known, asked at the start only
+
+    bool operator==(const replica_peers&) const = default;
+};
+
+} // namespace flamingoroute
+
+#endif
