Add leases with epochs and fenced writes over the platform

The holder counts its term from before it asked and less the drift; a taker waits the whole term plus drift from after it first saw the object at its version, so clocks are never compared. A term's epoch is the version of the write that began it; renewals keep it.

--- /dev/null
+++ b/src/flamingoroute/store/lease_keeper.cpp
@@ -0,0 +1,87 @@
+#include "flamingoroute/store/lease_keeper.hpp"
+
+namespace flamingoroute {
+
+namespace {
+
+constexpr int maxCallsPerStep = 4; ///< read, write, read back, write again
+
+} // namespace
+
+lease_keeper::lease_keeper(object_store& store, lease_settings settings, monotonic_clock now)
+    : m_store(store)
+    , m_name(settings.name)
+    , m_now(std::move(now))
+    , m_machine(std::move(settings))
+{
+}
+
+void lease_keeper::step()
+{
+    for (int i = 0; i < maxCallsPerStep; ++i) {
+        if (!stepOnce())
+            return;
+    }
+}
+
+bool lease_keeper::stepOnce()
+{
+    lease_call call;
+    const auto askedAt = m_now();
+    {
+        const std::lock_guard lock(m_mutex);
+        call = m_machine.next(askedAt);
+    }
+    if (call.kind == lease_call_kind::none)
+        return false;
+    if (call.kind == lease_call_kind::read) {
+        const auto answer = m_store.get(leaseKind, m_name);
+        const std::lock_guard lock(m_mutex);
+        m_machine.onRead(answer, m_now());
+        return true;
+    }
+    const auto answer = call.kind == lease_call_kind::create
+        ? m_store.create(leaseKind, m_name, call.value)
+        : m_store.update(leaseKind, m_name, call.value, call.expected);
+    const std::lock_guard lock(m_mutex);
+    m_machine.onWritten(call, askedAt, answer, m_now());
+    return true;
+}
+
+void lease_keeper::setWanted(bool isWanted)
+{
+    const std::lock_guard lock(m_mutex);
+    m_machine.setWanted(isWanted);
+}
+
+void lease_keeper::release()
+{
+    setWanted(false);
+    step();
+}
+
+bool lease_keeper::isHeld() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_machine.isHeld(m_now());
+}
+
+object_version lease_keeper::epoch() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_machine.epoch(m_now());
+}
+
+monotonic_time lease_keeper::heldUntil() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_machine.heldUntil();
+}
+
+std::string lease_keeper::seenHolder() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_machine.seenHolder();
+}
+
+} // namespace flamingoroute
--- /dev/null
+++ b/src/flamingoroute/store/lease_machine.cpp
@@ -0,0 +1,119 @@
+#include "flamingoroute/store/lease_machine.hpp"
+
+namespace flamingoroute {
+
+lease_machine::lease_machine(lease_settings settings)
+    : m_settings(std::move(settings))
+{
+}
+
+bool lease_machine::isMine(const lease_record& record) const
+{
+    return record.holder == m_settings.holder && record.holderIncarnation == m_settings.holderIncarnation;
+}
+
+bool lease_machine::isTakeable(monotonic_time now) const
+{
+    if (m_version == 0 || m_seen.isReleased || isMine(m_seen))
+        return true;
+    const bool isEarlierSelf
+        = m_seen.holder == m_settings.holder && m_seen.holderIncarnation < m_settings.holderIncarnation;
+    return isEarlierSelf || now >= m_firstSeen + m_seen.duration + m_settings.drift;
+}
+
+lease_call lease_machine::write(bool isRelease) const
+{
+    lease_record record;
+    record.holder = m_settings.holder;
+    record.holderIncarnation = m_settings.holderIncarnation;
+    record.sequence = m_sequence;
+    record.duration = m_settings.duration;
+    record.isReleased = isRelease;
+    const bool isSameTerm = m_version != 0 && isMine(m_seen) && !m_seen.isReleased && m_epoch != 0;
+    record.epoch = isSameTerm ? m_epoch : 0;
+    const auto kind = m_version == 0 ? lease_call_kind::create : lease_call_kind::update;
+    return lease_call { kind, writeLease(record), m_version };
+}
+
+lease_call lease_machine::next(monotonic_time now) const
+{
+    const lease_call read { lease_call_kind::read, "", 0 };
+    const bool isOwn = m_isSeen && m_version != 0 && isMine(m_seen) && !m_seen.isReleased;
+    if (!m_isWanted) {
+        if (m_unsettledSince)
+            return read;
+        return isOwn ? write(true) : lease_call {};
+    }
+    if (now < m_nextCall)
+        return {};
+    const bool isRead = m_isSeen && !m_unsettledSince;
+    return isRead && isTakeable(now) ? write(false) : read;
+}
+
+void lease_machine::onRead(const tl::expected<stored_object, error>& answer, monotonic_time now)
+{
+    m_nextCall = now + m_settings.retryInterval;
+    if (!answer && answer.error().code != error_code::not_found)
+        return;
+    const auto record = answer ? parseLease(answer->value) : lease_record {};
+    if (!record)
+        return;
+    const object_version version = answer ? answer->version : 0;
+    if (!m_isSeen || version != m_version)
+        m_firstSeen = now;
+    m_isSeen = true;
+    m_version = version;
+    m_seen = *record;
+    const auto unsettled = m_unsettledSince;
+    m_unsettledSince.reset();
+    if (unsettled && isMine(m_seen) && m_seen.sequence == m_sequence) {
+        noteOwn(m_seen, version, *unsettled);
+        return;
+    }
+    if (!isMine(m_seen))
+        m_epoch = 0;
+    if (isTakeable(now))
+        m_nextCall = now;
+}
+
+void lease_machine::onWritten(const lease_call& made, monotonic_time askedAt,
+    const tl::expected<object_version, error>& answer, monotonic_time now)
+{
+    m_nextCall = now + m_settings.retryInterval;
+    if (answer) {
+        const auto record = parseLease(made.value);
+        m_firstSeen = now;
+        m_isSeen = true;
+        m_version = *answer;
+        m_seen = *record;
+        noteOwn(*record, *answer, askedAt);
+        return;
+    }
+    switch (answer.error().code) {
+    case error_code::outcome_unknown:
+        m_unsettledSince = askedAt;
+        m_nextCall = now;
+        break;
+    case error_code::conflict:
+    case error_code::not_found:
+        m_isSeen = false;
+        m_nextCall = now;
+        break;
+    default:
+        break;
+    }
+}
+
+void lease_machine::noteOwn(const lease_record& record, object_version version, monotonic_time askedAt)
+{
+    ++m_sequence;
+    m_nextCall = askedAt + m_settings.renewInterval;
+    if (record.isReleased) {
+        m_epoch = 0;
+        return;
+    }
+    m_epoch = epochOf(record, version);
+    m_heldUntil = askedAt + m_settings.duration - m_settings.drift;
+}
+
+} // namespace flamingoroute
