--- a/tests/unit/store/lease_test.cpp
+++ b/tests/unit/store/lease_test.cpp
@@ -31,7 +31,7 @@
     monotonic_time m_now { seconds { 1000 } };
     lease_keeper m_a { m_store, settingsOf("a"), clock() };
     lease_keeper m_b { m_store, settingsOf("b"), clock() };
-    const lease_settings m_defaults;
+    const lease_settings m_defaults {};
 };
 
 } // namespace
