--- /dev/null
+++ b/src/flamingoroute/keys/key_table.hpp
@@ -0,0 +1,28 @@
+#ifndef FLAMINGOROUTE_KEYS_KEY_TABLE_HPP
+#define FLAMINGOROUTE_KEYS_KEY_TABLE_HPP
+
+#include "flamingoroute/model/access_key.hpp"
+
+#include <map>
+#include <string>
+#include <unordered_map>
+
+namespace flamingoroute {
+
+/// An immutable snapshot of all keys.
+struct key_table {
+    revision number = 0;
+    std::unordered_multimap<std::string, access_key> byHashPrefix;
+    std::map<key_id, revision> withdrawals; ///< ahead of the configuration that withdraws them
+
+    /// @return whether @p key is refused, by the configuration or ahead of it
+    bool isWithdrawn(const access_key& key) const
+    {
+        const auto ahead = withdrawals.find(key.name);
+        return key.isWithdrawn || (ahead != withdrawals.end() && ahead->second > number);
+    }
+};
+
+} // namespace flamingoroute
+
+#endif
