Wire claims and quarantine into the entry process

Cause: the entry ran every request with any Idempotency-Key and forgot broken attempts. Reads of a claim give up after three failures, so that an outage costs a caller some 60 ms of waits instead of its whole deadline.

--- a/src/flamingoroute/requests/claim_attempt.cpp
+++ b/src/flamingoroute/requests/claim_attempt.cpp
@@ -36,6 +36,8 @@
         return judge(*result);
     if (result.error().code == error_code::not_found)
         return createAgain();
+    if (++m_failedReads >= m_limits.maxFailedReads)
+        return giveUp();
     readAgain();
 }
 
--- a/src/flamingoroute/requests/claim_attempt.hpp
+++ b/src/flamingoroute/requests/claim_attempt.hpp
@@ -64,6 +64,7 @@
     object_version m_version = 0;
     int m_creates = 0;
     int m_reads = 0;
+    int m_failedReads = 0;
     bool m_isOwnFateUnknown = false;
     bool m_hasSeenOther = false;
     bool m_isOtherRunning = false;
--- a/src/flamingoroute/requests/claim_limits.hpp
+++ b/src/flamingoroute/requests/claim_limits.hpp
@@ -11,6 +11,7 @@
 struct claim_limits {
     int maxCreates = 3; ///< tries to create a claim whose fate is not known
     int maxReads = 8; ///< reads of another sending's claim before its fate is called unknown
+    int maxFailedReads = 3; ///< reads that fail before the platform counts as out of reach
     microseconds firstWait { 20'000 }; ///< before the second read; each later wait is twice as long
     int maxSettleTries = 3; ///< tries to write one outcome before the job waits
     std::size_t maxKeptAnswerBytes = 64 * 1024; ///< a larger answer is not kept for a later sending
--- a/src/flamingoroute/runtime/entry_node.cpp
+++ b/src/flamingoroute/runtime/entry_node.cpp
@@ -12,6 +12,7 @@
 #include "flamingoroute/runtime/lookup_json.hpp"
 #include "flamingoroute/runtime/member_directory.hpp"
 #include "flamingoroute/runtime/message_router.hpp"
+#include "flamingoroute/runtime/request_guards.hpp"
 #include "flamingoroute/steering/lookup_table.hpp"
 #include "flamingoroute/steering/upstream_pool.hpp"
 
@@ -44,6 +45,7 @@
         , own(newIncarnation())
         , bus(settings.self.instance, process_role::entry, own)
         , pool(identityOf(settings.self, own))
+        , guards(settings, own, directory, bus)
         , pipeline(pipelineHooks())
         , callers(settings.entry, settings.self.instance.value() + "-" + std::to_string(own) + "-", serverHooks())
     {
@@ -68,6 +70,7 @@
     upstream_pool pool;
     upstream_client client;
     std::atomic<lookup_table_ptr> lookups;
+    request_guards guards;
     request_pipeline pipeline;
     caller_server callers;
     std::unique_ptr<config_poll> config;
@@ -87,10 +90,7 @@
     hooks.attempt = [this](const auto& target, const auto& request, auto deadline) {
         return client.attempt(target, request, deadline);
     };
-    hooks.claim = [](const auto&, const auto&, const auto&, auto) { return claim_decision { true, {}, {} }; };
-    hooks.settleClaim = [](const auto&, const auto&, auto, const auto&) {};
-    hooks.checkQuarantine = [](const auto&, const auto&, const auto&) { return std::optional<refusal> {}; };
-    hooks.noteBrokenAttempt = [](const auto&, const auto&, const auto&, const auto&) {};
+    guards.addTo(hooks);
     hooks.observe = [](const request_record&) {};
     return hooks;
 }
@@ -153,6 +153,8 @@
     if (!pepper)
         return tl::unexpected(pepper.error());
     p.keys.setPepper(*pepper);
+    p.guards.listenTo(p.router);
+    p.guards.start();
     const auto listening
         = p.bus.listen(p.settings.self.entryAddress, [&p](const envelope& message) { p.router.route(message); });
     if (!listening)
@@ -179,6 +181,7 @@
     while (p.callers.activeCount() > 0 && monotonicNow() < giveUpAt)
         std::this_thread::sleep_for(stopPoll);
     p.callers.stop(std::chrono::duration_cast<milliseconds>(giveUpAt - monotonicNow()));
+    p.guards.stop();
     p.config.reset();
     p.bus.stop();
     event_line(log_level::info, "entry.stopped");
