Know members by heartbeats, records passed on and the platform's lagging list

A peer is suspect after missed heartbeats and gone only if it left or if it is silent and the platform dropped it; the list alone proves nothing. Heartbeats carry the revision in force, so that a status can name failure domains that have not confirmed, and the age of the last word from the platform. Heartbeats grow rarer as the domain grows.

--- a/src/flamingoroute/keys/key_authenticator.cpp
+++ b/src/flamingoroute/keys/key_authenticator.cpp
@@ -1,6 +1,6 @@
 #include "flamingoroute/keys/key_authenticator.hpp"
 
-#include "flamingoroute/keys/key_table.hpp"
+#include "flamingoroute/keys/key_snapshot.hpp"
 
 namespace flamingoroute {
 
@@ -25,45 +25,45 @@
 key_authenticator::key_authenticator(key_hasher hasher, monotonic_clock now)
     : m_hasher(std::move(hasher))
     , m_now(std::move(now))
-    , m_table(std::make_shared<key_table>())
+    , m_snapshot(std::make_shared<key_snapshot>())
 {
 }
 
 key_authenticator::~key_authenticator() = default;
 
-std::shared_ptr<const key_table> key_authenticator::table() const
+std::shared_ptr<const key_snapshot> key_authenticator::snapshot() const
 {
     const std::lock_guard lock(m_mutex);
-    return m_table;
+    return m_snapshot;
 }
 
 void key_authenticator::adopt(const configuration_ptr& objects)
 {
-    auto next = std::make_shared<key_table>();
+    auto next = std::make_shared<key_snapshot>();
     next->number = objects->number;
     for (const auto& key : objects->keys)
         next->byHashPrefix.emplace(prefixOf(key.hash), key);
     const std::lock_guard lock(m_mutex);
-    if (next->number < m_table->number)
+    if (next->number < m_snapshot->number)
         return;
-    for (const auto& [key, number] : m_table->withdrawals) {
+    for (const auto& [key, number] : m_snapshot->withdrawals) {
         if (number > next->number)
             next->withdrawals.emplace(key, number);
     }
-    m_table = std::move(next);
+    m_snapshot = std::move(next);
 }
 
 bool key_authenticator::withdraw(const key_withdrawal& withdrawal)
 {
     const key_id name(withdrawal.key);
     const std::lock_guard lock(m_mutex);
-    const auto known = m_table->withdrawals.find(name);
-    const bool isKnown = known != m_table->withdrawals.end() && known->second >= withdrawal.number;
-    if (isKnown || withdrawal.number <= m_table->number)
+    const auto known = m_snapshot->withdrawals.find(name);
+    const bool isKnown = known != m_snapshot->withdrawals.end() && known->second >= withdrawal.number;
+    if (isKnown || withdrawal.number <= m_snapshot->number)
         return false;
-    auto next = std::make_shared<key_table>(*m_table);
+    auto next = std::make_shared<key_snapshot>(*m_snapshot);
     next->withdrawals[name] = withdrawal.number;
-    m_table = std::move(next);
+    m_snapshot = std::move(next);
     return true;
 }
 
@@ -77,7 +77,7 @@
 {
     if (key.empty())
         return tl::unexpected(refuse(refusal_reason::missing_key, "the request carries no key"));
-    const auto keys = table();
+    const auto keys = snapshot();
     const std::string hash = m_hasher.hash(key);
     const access_key* found = nullptr;
     const auto [first, last] = keys->byHashPrefix.equal_range(prefixOf(hash));
--- a/src/flamingoroute/keys/key_authenticator.hpp
+++ b/src/flamingoroute/keys/key_authenticator.hpp
@@ -15,7 +15,7 @@
 
 namespace flamingoroute {
 
-struct key_table;
+struct key_snapshot;
 
 /// Tells whose key a request carries. Safe to call from any thread; to be asked for each request, not each
 /// connection, and again when a request leaves a queue.
@@ -41,12 +41,12 @@
     tl::expected<customer_id, refusal> authenticate(const std::string& key) const;
 
 private:
-    std::shared_ptr<const key_table> table() const;
+    std::shared_ptr<const key_snapshot> snapshot() const;
 
     key_hasher m_hasher;
     monotonic_clock m_now;
     mutable std::mutex m_mutex; ///< guards the pointer and the time, never held while a key is checked
-    std::shared_ptr<const key_table> m_table;
+    std::shared_ptr<const key_snapshot> m_snapshot;
     monotonic_time m_freshAt;
 };
 
--- a/src/flamingoroute/keys/key_table.hpp
+++ b/src/flamingoroute/keys/key_snapshot.hpp
@@ -1,5 +1,5 @@
-#ifndef FLAMINGOROUTE_KEYS_KEY_TABLE_HPP
-#define FLAMINGOROUTE_KEYS_KEY_TABLE_HPP
+#ifndef FLAMINGOROUTE_KEYS_KEY_SNAPSHOT_HPP
+#define FLAMINGOROUTE_KEYS_KEY_SNAPSHOT_HPP
 
 #include "flamingoroute/model/access_key.hpp"
 
@@ -10,7 +10,7 @@
 namespace flamingoroute {
 
 /// An immutable snapshot of all keys.
-struct key_table {
+struct key_snapshot {
     revision number = 0;
     std::unordered_multimap<std::string, access_key> byHashPrefix;
     std::map<key_id, revision> withdrawals; ///< ahead of the configuration that withdraws them
--- /dev/null
+++ b/src/flamingoroute/peers/heartbeat.hpp
@@ -0,0 +1,31 @@
+#ifndef FLAMINGOROUTE_PEERS_HEARTBEAT_HPP
+#define FLAMINGOROUTE_PEERS_HEARTBEAT_HPP
+
+#include "flamingoroute/peers/member_record.hpp"
+
+#include <msgpack.hpp>
+
+#include <cstdint>
+#include <limits>
+#include <vector>
+
+namespace flamingoroute {
+
+/// Body of `heartbeat`. Sender, role and incarnation are those of the envelope.
+struct heartbeat {
+    static constexpr std::uint32_t unknownAge = std::numeric_limits<std::uint32_t>::max();
+
+    revision number = 0; ///< of the configuration in force at the sender
+    std::uint32_t intervalMs = 0; ///< until the sender's next one
+    std::uint32_t platformAgeMs = unknownAge; ///< since the revision was known to be the platform's newest
+    bool isLeaving = false;
+    bool isRecordsWanted = false; ///< the receiver answers with all records that it has
+    std::vector<member_record> records; ///< of the sender and others, mostly empty
+
+    bool operator==(const heartbeat&) const = default;
+    MSGPACK_DEFINE(number, intervalMs, platformAgeMs, isLeaving, isRecordsWanted, records)
+};
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/peers/incarnation_filter.hpp
@@ -0,0 +1,30 @@
+#ifndef FLAMINGOROUTE_PEERS_INCARNATION_FILTER_HPP
+#define FLAMINGOROUTE_PEERS_INCARNATION_FILTER_HPP
+
+#include "flamingoroute/peers/envelope.hpp"
+
+#include <map>
+#include <utility>
+
+namespace flamingoroute {
+
+/// Drops messages of processes that a newer incarnation has replaced. For one thread.
+class incarnation_filter {
+public:
+    /// @return false if a higher incarnation of the sending process was seen
+    bool accept(const envelope& message)
+    {
+        auto& highest = m_highest[{ message.from, message.role }];
+        if (message.fromIncarnation < highest)
+            return false;
+        highest = message.fromIncarnation;
+        return true;
+    }
+
+private:
+    std::map<std::pair<instance_id, process_role>, incarnation> m_highest;
+};
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/peers/member_status.hpp
@@ -0,0 +1,21 @@
+#ifndef FLAMINGOROUTE_PEERS_MEMBER_STATUS_HPP
+#define FLAMINGOROUTE_PEERS_MEMBER_STATUS_HPP
+
+#include "flamingoroute/model/member.hpp"
+#include "flamingoroute/peers/member_state.hpp"
+
+namespace flamingoroute {
+
+/// An instance as this process knows it.
+struct member_status {
+    member where;
+    member_state state = member_state::suspect;
+    incarnation entryIncarnation = 0;
+    revision entryRevision = 0; ///< of the configuration in force at its entry process
+
+    bool operator==(const member_status&) const = default;
+};
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/peers/membership.cpp
@@ -0,0 +1,357 @@
+#include "flamingoroute/peers/membership.hpp"
+
+#include "flamingoroute/peers/rendezvous.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace flamingoroute {
+
+namespace {
+
+constexpr std::size_t keptPlatformSightings = 4;
+constexpr std::size_t millisecondsPerSecond = 1000;
+
+template <typename Time> void raise(std::optional<Time>& known, Time seen)
+{
+    if (!known || *known < seen)
+        known = seen;
+}
+
+} // namespace
+
+membership::membership(member self, process_role role, incarnation own, membership_settings settings, random_pick pick)
+    : m_self(std::move(self))
+    , m_role(role)
+    , m_own(own)
+    , m_settings(settings)
+    , m_pick(std::move(pick))
+{
+}
+
+void membership::addSeeds(const std::vector<member>& seeds)
+{
+    for (const auto& seed : seeds) {
+        if (seed.instance != m_self.instance)
+            m_members[seed.instance].where = seed;
+    }
+}
+
+void membership::setOwn(revision inForce, bool isLeaving, std::optional<milliseconds> platformAge)
+{
+    m_revision = inForce;
+    m_isLeaving = isLeaving;
+    m_platformAge = platformAge;
+}
+
+std::vector<heartbeat_message> membership::onHeartbeat(
+    const instance_id& from, process_role role, incarnation fromIncarnation, const heartbeat& body, monotonic_time now)
+{
+    std::vector<heartbeat_message> messages;
+    std::vector<member_record> changed;
+    for (const auto& record : body.records) {
+        if (takeRecord(record, record.instance == from.value(), now))
+            changed.push_back(record);
+    }
+    const auto found = m_members.find(from);
+    if (body.platformAgeMs != heartbeat::unknownAge) {
+        auto& seen = m_platformSeen[body.number];
+        seen = std::max(seen, now - milliseconds(body.platformAgeMs));
+        if (m_platformSeen.size() > keptPlatformSightings)
+            m_platformSeen.erase(m_platformSeen.begin());
+    }
+    if (found == m_members.end()) {
+        heartbeat question = ownHeartbeat();
+        question.isRecordsWanted = from != m_self.instance;
+        question.records = { ownRecord() };
+        if (question.isRecordsWanted)
+            messages.push_back({ from, role, question });
+        return messages;
+    }
+    auto& known = found->second;
+    const bool isRemote = known.where.failureDomain != m_self.failureDomain;
+    known.interval = milliseconds(body.intervalMs);
+    known.unlistedSince.reset();
+    if (role == process_role::entry && fromIncarnation >= known.entryIncarnation) {
+        raise(known.entryHeard, now);
+        known.entryIncarnation = fromIncarnation;
+        known.entryRevision = body.number;
+        known.isLeaving = body.isLeaving;
+        known.isGone = false;
+    } else if (role == process_role::control) {
+        raise(known.controlHeard, now);
+    }
+    if (body.isRecordsWanted)
+        split(from, role, records(false, now), messages);
+    relay(changed, isRemote, messages);
+    return messages;
+}
+
+bool membership::takeRecord(const member_record& record, bool isFromItself, monotonic_time now)
+{
+    const auto where = memberOf(record);
+    if (!where || where->instance == m_self.instance)
+        return false;
+    const bool isNew = m_members.count(where->instance) == 0;
+    auto& known = m_members[where->instance];
+    const bool isNewer = record.entryIncarnation > known.entryIncarnation;
+    if (isNew || isNewer)
+        known.where = *where;
+    const bool isDirectlyHeard = known.entryHeard && isDirect(known);
+    if (isFromItself || record.entryIncarnation < known.entryIncarnation || (isDirectlyHeard && !isNewer))
+        return isNew;
+    const auto state = static_cast<member_state>(record.state);
+    const bool isChanged = isNew || isNewer || known.isLeaving != (state == member_state::leaving)
+        || known.isGone != (state == member_state::gone);
+    known.entryIncarnation = record.entryIncarnation;
+    known.entryRevision = std::max(known.entryRevision, record.entryRevision);
+    known.isLeaving = state == member_state::leaving;
+    known.isGone = state == member_state::gone;
+    if (state == member_state::live && !isDirect(known))
+        raise(known.entryHeard, now);
+    return isChanged;
+}
+
+void membership::relay(
+    const std::vector<member_record>& changed, bool isFromRemote, std::vector<heartbeat_message>& messages)
+{
+    if (changed.empty() || directCount() == m_members.size())
+        return;
+    const auto local = localPeers();
+    const std::size_t count = isFromRemote ? local.size() : std::min(m_settings.relayFanout, local.size());
+    const std::size_t first = local.empty() ? 0 : m_pick(local.size());
+    for (std::size_t i = 0; i < count; ++i)
+        split(local[(first + i) % local.size()], m_role, changed, messages);
+}
+
+void membership::onPlatformList(const std::vector<platform_instance>& listed, monotonic_time now)
+{
+    std::set<instance_id> names;
+    for (const auto& line : listed)
+        names.insert(line.instance);
+    for (auto& [name, known] : m_members) {
+        if (names.count(name) > 0)
+            known.unlistedSince.reset();
+        else if (!known.unlistedSince)
+            known.unlistedSince = now;
+    }
+}
+
+std::vector<heartbeat_message> membership::onTick(monotonic_time now)
+{
+    std::vector<heartbeat_message> messages;
+    if (now >= m_nextHeartbeat) {
+        m_nextHeartbeat = now + interval();
+        sendHeartbeats(messages);
+        forgetGone(now);
+    }
+    if (directCount() == m_members.size())
+        return messages;
+    if (now >= m_nextDigest && isBridge(now)) {
+        m_nextDigest = now + m_settings.digestInterval;
+        sendDigest(now, messages);
+    }
+    if (now >= m_nextRecords) {
+        m_nextRecords = now + m_settings.recordInterval;
+        sendSomeRecords(now, messages);
+    }
+    return messages;
+}
+
+milliseconds membership::interval() const
+{
+    const std::size_t perPeer = m_role == process_role::entry ? 2 : 1;
+    const std::size_t bytes = directCount() * perPeer * m_settings.heartbeatBytes;
+    const milliseconds affordable(bytes * millisecondsPerSecond / m_settings.bytesPerSecond);
+    return std::max(m_settings.minInterval, affordable);
+}
+
+bool membership::isDirect(const known_member& known) const
+{
+    return known.where.failureDomain == m_self.failureDomain || m_members.size() < m_settings.wholeFleetLimit;
+}
+
+std::size_t membership::directCount() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_members.begin(), m_members.end(), [this](const auto& entry) { return isDirect(entry.second); }));
+}
+
+heartbeat membership::ownHeartbeat() const
+{
+    heartbeat body;
+    body.number = m_revision;
+    body.intervalMs = static_cast<std::uint32_t>(interval().count());
+    body.isLeaving = m_isLeaving;
+    if (m_platformAge)
+        body.platformAgeMs = static_cast<std::uint32_t>(m_platformAge->count());
+    return body;
+}
+
+member_record membership::ownRecord() const
+{
+    auto record = recordOf(m_self);
+    const bool isEntry = m_role == process_role::entry;
+    record.entryIncarnation = isEntry ? m_own : 0;
+    record.entryRevision = isEntry ? m_revision : 0;
+    record.state = static_cast<std::uint8_t>(m_isLeaving ? member_state::leaving : member_state::live);
+    return record;
+}
+
+member_record membership::recordOfKnown(const known_member& known, monotonic_time now) const
+{
+    auto record = recordOf(known.where);
+    record.entryIncarnation = known.entryIncarnation;
+    record.entryRevision = known.entryRevision;
+    record.state = static_cast<std::uint8_t>(stateOf(known, now));
+    return record;
+}
+
+std::vector<member_record> membership::records(bool isOwnDomainOnly, monotonic_time now) const
+{
+    std::vector<member_record> result { ownRecord() };
+    for (const auto& [name, known] : m_members) {
+        if (!isOwnDomainOnly || known.where.failureDomain == m_self.failureDomain)
+            result.push_back(recordOfKnown(known, now));
+    }
+    return result;
+}
+
+void membership::split(const instance_id& to, process_role role, const std::vector<member_record>& all,
+    std::vector<heartbeat_message>& messages) const
+{
+    for (std::size_t i = 0; i < all.size(); i += m_settings.recordsPerMessage) {
+        heartbeat body = ownHeartbeat();
+        const auto last = std::min(i + m_settings.recordsPerMessage, all.size());
+        body.records.assign(
+            all.begin() + static_cast<std::ptrdiff_t>(i), all.begin() + static_cast<std::ptrdiff_t>(last));
+        messages.push_back({ to, role, std::move(body) });
+    }
+}
+
+void membership::sendHeartbeats(std::vector<heartbeat_message>& messages)
+{
+    heartbeat body = ownHeartbeat();
+    if (m_ownRecordsLeft > 0) {
+        --m_ownRecordsLeft;
+        body.records = { ownRecord() };
+    }
+    const auto other = m_role == process_role::entry ? process_role::control : process_role::entry;
+    messages.push_back({ m_self.instance, other, body });
+    for (const auto& [name, known] : m_members) {
+        if (!isDirect(known) || known.isGone)
+            continue;
+        messages.push_back({ name, m_role, body });
+        if (m_role == process_role::entry)
+            messages.push_back({ name, other, body });
+    }
+}
+
+void membership::sendDigest(monotonic_time now, std::vector<heartbeat_message>& messages)
+{
+    const auto bridges = remoteBridges(now);
+    if (!bridges.empty())
+        split(bridges[m_pick(bridges.size())], m_role, records(true, now), messages);
+}
+
+void membership::sendSomeRecords(monotonic_time now, std::vector<heartbeat_message>& messages)
+{
+    const auto local = localPeers();
+    const auto all = records(false, now);
+    if (local.empty())
+        return;
+    std::vector<member_record> some;
+    const std::size_t first = m_pick(all.size());
+    for (std::size_t i = 0; i < std::min(m_settings.recordsPerMessage, all.size()); ++i)
+        some.push_back(all[(first + i) % all.size()]);
+    split(local[m_pick(local.size())], m_role, some, messages);
+}
+
+member_state membership::stateOf(const known_member& known, monotonic_time now) const
+{
+    if (known.isGone)
+        return member_state::gone;
+    const auto patience = isDirect(known)
+        ? known.interval * m_settings.suspectIntervals + m_settings.suspectGrace
+        : m_settings.digestInterval * static_cast<int>(m_members.size()) + m_settings.suspectGrace;
+    const bool isSilent = !known.entryHeard || now > *known.entryHeard + patience;
+    if (isSilent && known.unlistedSince && now > *known.unlistedSince + m_settings.goneAfter)
+        return member_state::gone;
+    if (known.isLeaving)
+        return isSilent ? member_state::gone : member_state::leaving;
+    return isSilent ? member_state::suspect : member_state::live;
+}
+
+void membership::forgetGone(monotonic_time now)
+{
+    std::erase_if(m_members, [&](const auto& entry) {
+        const auto& heard = entry.second.entryHeard;
+        return heard && now > *heard + m_settings.forgetAfter && stateOf(entry.second, now) == member_state::gone;
+    });
+}
+
+std::vector<member_status> membership::members(monotonic_time now) const
+{
+    std::vector<member_status> result;
+    result.push_back({ m_self, m_isLeaving ? member_state::leaving : member_state::live,
+        m_role == process_role::entry ? m_own : 0, m_revision });
+    for (const auto& [name, known] : m_members)
+        result.push_back({ known.where, stateOf(known, now), known.entryIncarnation, known.entryRevision });
+    std::sort(result.begin(), result.end(), [](const member_status& left, const member_status& right) {
+        return left.where.instance < right.where.instance;
+    });
+    return result;
+}
+
+std::vector<instance_id> membership::localPeers() const
+{
+    std::vector<instance_id> result;
+    for (const auto& [name, known] : m_members) {
+        if (known.where.failureDomain == m_self.failureDomain && !known.isGone)
+            result.push_back(name);
+    }
+    return result;
+}
+
+std::vector<instance_id> membership::bridgesOf(const failure_domain_id& domain, monotonic_time now) const
+{
+    std::vector<instance_id> candidates;
+    if (domain == m_self.failureDomain)
+        candidates.push_back(m_self.instance);
+    for (const auto& [name, known] : m_members) {
+        const bool isHere = known.where.failureDomain == domain;
+        const auto state = stateOf(known, now);
+        const bool mayServe = state == member_state::live || (state == member_state::suspect && !known.entryHeard);
+        if (isHere && mayServe)
+            candidates.push_back(name);
+    }
+    return pickByRendezvous("bridge", candidates, m_settings.bridges);
+}
+
+bool membership::isBridge(monotonic_time now) const
+{
+    const auto bridges = bridgesOf(m_self.failureDomain, now);
+    return std::find(bridges.begin(), bridges.end(), m_self.instance) != bridges.end();
+}
+
+std::vector<instance_id> membership::remoteBridges(monotonic_time now) const
+{
+    std::set<failure_domain_id> domains;
+    for (const auto& [name, known] : m_members)
+        domains.insert(known.where.failureDomain);
+    domains.erase(m_self.failureDomain);
+    std::vector<instance_id> result;
+    for (const auto& domain : domains) {
+        const auto bridges = bridgesOf(domain, now);
+        result.insert(result.end(), bridges.begin(), bridges.end());
+    }
+    return result;
+}
+
+std::optional<monotonic_time> membership::platformSeenAt(revision inForce) const
+{
+    const auto found = m_platformSeen.find(inForce);
+    return found == m_platformSeen.end() ? std::nullopt : std::optional(found->second);
+}
+
+} // namespace flamingoroute
