Add the pure core of version moves: plan, machine, share cap and verdict

A move's progress lives in the published configuration; the leader proposes the next state from the object and the merged observations, each entry keeps its own share and stops a failing version by itself.

Seen failing with the mechanism off (unit tests, each switched off by itself): a retry sent to the new version, share earned under a higher cap, the recent baseline (both versions fail), CUSUM floor at zero (late fault), cold time, test per route, confirmation, cumulative counts, incarnation, deadline.

--- /dev/null
+++ b/src/flamingoroute/moves/move_follower.cpp
@@ -0,0 +1,108 @@
+#include "flamingoroute/moves/move_follower.hpp"
+
+#include "flamingoroute/moves/effective_share.hpp"
+
+namespace flamingoroute {
+
+namespace {
+
+constexpr milliseconds reportTime { 1000 };
+constexpr milliseconds suspiciousReportTime { 200 };
+
+bool isSameWish(const version_move& left, const version_move& right)
+{
+    return left.service == right.service && left.from == right.from && left.to == right.to
+        && left.startAtUnixMs == right.startAtUnixMs;
+}
+
+} // namespace
+
+void move_follower::adopt(const configuration& current, const view& at)
+{
+    std::map<move_id, followed> moves;
+    for (const auto& move : current.moves) {
+        if (!isFollowed(move, at.nowUnixMs))
+            continue;
+        const auto known = m_moves.find(move.name);
+        if (known == m_moves.end() || !isSameWish(known->second.observer.move(), move)) {
+            moves.emplace(move.name, followed { move_observer(move, m_settings, at.now) });
+            continue;
+        }
+        known->second.observer.adopt(move, at.now);
+        moves.emplace(move.name, std::move(known->second));
+    }
+    m_moves = std::move(moves);
+}
+
+bool move_follower::note(const observed_attempt& attempt, monotonic_time now)
+{
+    bool isStopped = false;
+    for (auto& [name, each] : m_moves) {
+        const auto& move = each.observer.move();
+        const bool isConcerned
+            = move.service == attempt.service && (move.from == attempt.version || move.to == attempt.version);
+        if (!isConcerned || each.observer.isStopped())
+            continue;
+        each.observer.note(attempt, now);
+        isStopped = isStopped || each.observer.isStopped();
+    }
+    return isStopped;
+}
+
+bool move_follower::noteStop(const move_observation& notice)
+{
+    const auto found = m_moves.find(move_id(notice.move));
+    if (!notice.isStopped || found == m_moves.end())
+        return false;
+    auto& observer = found->second.observer;
+    if (observer.isStopped() || observer.move().startAtUnixMs != notice.startAtUnixMs)
+        return false;
+    observer.stop(notice.reason);
+    return true;
+}
+
+std::vector<version_split> move_follower::splits(const view& at) const
+{
+    std::vector<version_split> result;
+    for (const auto& [name, each] : m_moves) {
+        const auto& move = each.observer.move();
+        const int percent
+            = effectiveShare(move, local_move_view { at.isFresh, each.observer.isStopped(), at.nowUnixMs });
+        if (isSwitchedOver(move) && percent == 100)
+            continue;
+        if (move.phase != move_phase::waiting)
+            result.push_back({ move.service, move.from, move.to, percent });
+    }
+    return result;
+}
+
+std::vector<move_observation> move_follower::takeReports(monotonic_time now)
+{
+    std::vector<move_observation> reports;
+    for (auto& [name, each] : m_moves) {
+        if (!isReportDue(each, now))
+            continue;
+        reports.push_back(each.observer.takeObservation());
+        each.reportedAt = now;
+        each.hasReportedStop = each.observer.isStopped();
+    }
+    return reports;
+}
+
+/// A finished move with a split stays followed for good; one that switched over, until its guard ends.
+bool move_follower::isFollowed(const version_move& move, std::int64_t nowUnixMs) const
+{
+    if (move.phase == move_phase::undone)
+        return false;
+    return !isSwitchedOver(move) || nowUnixMs < move.steppedAtUnixMs + m_settings.guard.count();
+}
+
+bool move_follower::isReportDue(const followed& each, monotonic_time now) const
+{
+    if (each.observer.isStopped() && !each.hasReportedStop)
+        return true;
+    const auto wait = each.observer.isSuspicious() ? suspiciousReportTime : reportTime;
+    return now - each.reportedAt >= wait;
+}
+
+} // namespace flamingoroute
--- /dev/null
+++ b/src/flamingoroute/moves/move_leader.cpp
@@ -0,0 +1,127 @@
+#include "flamingoroute/moves/move_leader.hpp"
+
+#include "flamingoroute/moves/move_machine.hpp"
+
+namespace flamingoroute {
+
+namespace {
+
+constexpr seconds shortestRateSpan { 2 };
+
+bool isSameWish(const version_move& left, const version_move& right)
+{
+    return left.service == right.service && left.from == right.from && left.to == right.to
+        && left.startAtUnixMs == right.startAtUnixMs;
+}
+
+} // namespace
+
+move_leader::led::led(const version_move& published, const move_settings& settings, monotonic_time now)
+    : move(published)
+    , judge(settings)
+    , confirmations(settings, now)
+    , stepBeganAt(now)
+{
+    judge.beginStep(published.sharePercent, now);
+}
+
+void move_leader::adopt(const configuration& current, monotonic_time now)
+{
+    std::map<move_id, led> moves;
+    for (const auto& move : current.moves) {
+        if (move.phase == move_phase::undone)
+            continue;
+        const auto known = m_moves.find(move.name);
+        if (known == m_moves.end() || !isSameWish(known->second.move, move)) {
+            moves.emplace(move.name, led(move, m_settings, now));
+            continue;
+        }
+        auto& each = known->second;
+        if (each.move.steppedAtUnixMs != move.steppedAtUnixMs) {
+            each.judge.beginStep(move.sharePercent, now);
+            each.sources.clear();
+            each.stepBeganAt = now;
+        }
+        each.move = move;
+        moves.emplace(move.name, std::move(each));
+    }
+    m_moves = std::move(moves);
+}
+
+void move_leader::note(
+    const instance_id& from, incarnation fromIncarnation, const move_observation& report, monotonic_time now)
+{
+    const auto found = m_moves.find(move_id(report.move));
+    if (found == m_moves.end() || found->second.move.startAtUnixMs != report.startAtUnixMs)
+        return;
+    auto& each = found->second;
+    if (report.isStopped && each.stopReason.empty())
+        each.stopReason = "at " + from.value() + ": " + report.reason;
+    auto& sender = each.sources[from];
+    if (fromIncarnation < sender.number)
+        return;
+    if (fromIncarnation > sender.number)
+        sender = source { fromIncarnation, {} };
+    each.confirmations.note(from, report.steppedAtUnixMs, now);
+    if (report.steppedAtUnixMs != each.move.steppedAtUnixMs)
+        return;
+    for (const auto& seen : report.routes)
+        takeCounts(each, sender, seen, now);
+}
+
+move_leader::actions move_leader::tick(const view& at)
+{
+    actions result;
+    for (auto& [name, each] : m_moves) {
+        measureRate(each, at.now);
+        const auto verdict = verdictOf(each);
+        if (verdict.state == verdict_state::bad) {
+            move_observation notice;
+            notice.move = name.value();
+            notice.startAtUnixMs = each.move.startAtUnixMs;
+            notice.isStopped = true;
+            notice.reason = verdict.reason;
+            result.stopNotices.push_back(notice);
+        }
+        if (!at.holdsLease(name))
+            continue;
+        move_event event;
+        event.nowUnixMs = at.nowUnixMs;
+        event.verdict = verdict;
+        event.isStepConfirmed = at.now - each.stepBeganAt >= shortestRateSpan
+            && each.confirmations.isConfirmed(at.members, each.move.steppedAtUnixMs, at.now);
+        event.requestsPerSecond = each.requestsPerSecond;
+        auto next = advanceMove(each.move, event, m_settings);
+        if (next != each.move)
+            result.publish.push_back(std::move(next));
+    }
+    return result;
+}
+
+void move_leader::takeCounts(led& each, source& from, const route_observation& seen, monotonic_time now)
+{
+    auto& known = from.routes[seen.route];
+    if (!hasGrown(seen.counts, known))
+        return;
+    each.judge.add(seen.route, seen.counts - known, now);
+    known = seen.counts;
+}
+
+version_verdict move_leader::verdictOf(const led& each)
+{
+    if (!each.stopReason.empty())
+        return { verdict_state::bad, each.stopReason };
+    return each.judge.verdict();
+}
+
+void move_leader::measureRate(led& each, monotonic_time now)
+{
+    const auto span = now - each.stepBeganAt;
+    if (span < shortestRateSpan)
+        return;
+    const auto& seen = each.judge.counts();
+    const auto attempts = static_cast<double>(seen.oldAttempts + seen.newAttempts);
+    each.requestsPerSecond = attempts / std::chrono::duration<double>(span).count();
+}
+
+} // namespace flamingoroute
--- /dev/null
+++ b/src/flamingoroute/moves/move_observation.hpp
@@ -0,0 +1,31 @@
+#ifndef FLAMINGOROUTE_MOVES_MOVE_OBSERVATION_HPP
+#define FLAMINGOROUTE_MOVES_MOVE_OBSERVATION_HPP
+
+#include "flamingoroute/moves/route_observation.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace flamingoroute {
+
+/// The body of a `move_observation` message.
+///
+/// From an entry to a leader of the move: what it saw, and with it the confirmation of the step that it applies. Counts
+/// are totals since the step began at this incarnation, so that a lost or doubled message does no harm.
+/// From a leader to the entries: a notice to stop, with `isStopped` and no counts.
+struct move_observation {
+    std::string move;
+    std::int64_t startAtUnixMs = 0; ///< tells two moves of the same name apart
+    std::int64_t steppedAtUnixMs = 0; ///< the step that the sender applies
+    bool isStopped = false; ///< the sender saw the new version failing
+    std::string reason; ///< if stopped
+    std::vector<route_observation> routes; ///< routes with new counts
+
+    bool operator==(const move_observation&) const = default;
+    MSGPACK_DEFINE(move, startAtUnixMs, steppedAtUnixMs, isStopped, reason, routes)
+};
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/moves/route_evidence.hpp
@@ -0,0 +1,44 @@
+#ifndef FLAMINGOROUTE_MOVES_ROUTE_EVIDENCE_HPP
+#define FLAMINGOROUTE_MOVES_ROUTE_EVIDENCE_HPP
+
+#include "flamingoroute/moves/error_baseline.hpp"
+#include "flamingoroute/moves/route_counts.hpp"
+#include "flamingoroute/moves/sequential_test.hpp"
+
+namespace flamingoroute {
+
+/// What speaks for and against the new version on one route, or over all routes.
+class route_evidence {
+public:
+    /// @param more attempts counted since the last call
+    void add(const route_counts& more, monotonic_time now);
+
+    /// A new step began: acceptance starts anew, and slowness is judged anew.
+    void restartStep();
+
+    /// Caches had time to warm: slowness counts from here on.
+    void endColdTime()
+    {
+        m_slowness.restartAlarm();
+        if (!m_slowness.isAccepted())
+            m_slowness.restartAcceptance();
+    }
+
+    bool isFailing() const { return m_errors.isAlarmed(); }
+    bool isSlow() const { return m_slowness.isAlarmed(); }
+    bool isAccepted() const { return m_errors.isAccepted() && m_slowness.isAccepted(); }
+    bool isUnsuspicious() const { return m_errors.isUnsuspicious() && m_slowness.isUnsuspicious(); }
+
+    /// @return what was counted since the step began
+    const route_counts& counts() const { return m_counts; }
+
+private:
+    error_baseline m_baseline;
+    sequential_test m_errors;
+    sequential_test m_slowness;
+    route_counts m_counts;
+};
+
+} // namespace flamingoroute
+
+#endif
