Check the ends of bodies in one place, and drop a silent pool at once

Conclusion: body_reader reads sized and chunked bodies for both; when a pooled connection gives no byte in time, all idle ones that have not answered since are closed.

--- a/src/flamingoroute/requests/internal/connection_pool.cpp
+++ b/src/flamingoroute/requests/internal/connection_pool.cpp
@@ -54,16 +54,22 @@
 void connection_pool::closeOld(monotonic_time now)
 {
     const std::lock_guard lock(m_mutex);
-    const auto closed = std::erase_if(m_idle, [&](const auto& connection) {
-        return m_policy.judge(connection->lastAnswerAt(), true, now) == idle_connection_use::close;
-    });
-    m_openCount -= static_cast<int>(closed);
+    closeDistrusted(now);
 }
 
-void connection_pool::noteSilence(monotonic_time startedAt)
+void connection_pool::noteSilence(monotonic_time startedAt, monotonic_time now)
 {
     const std::lock_guard lock(m_mutex);
     m_policy.noteSilence(startedAt);
+    closeDistrusted(now);
+}
+
+void connection_pool::closeDistrusted(monotonic_time now)
+{
+    const auto closed = std::erase_if(m_idle, [&](const auto& connection) {
+        return m_policy.judge(connection->lastAnswerAt(), true, now) == idle_connection_use::close;
+    });
+    m_openCount -= static_cast<int>(closed);
 }
 
 void connection_pool::noteExchange()
--- a/src/flamingoroute/requests/internal/connection_pool.hpp
+++ b/src/flamingoroute/requests/internal/connection_pool.hpp
@@ -32,13 +32,17 @@
     /// Closes connections that are idle for too long.
     void closeOld(monotonic_time now);
 
-    void noteSilence(monotonic_time startedAt);
+    /// Told when a connection gave no byte in time; closes the idle ones that have not answered since.
+    void noteSilence(monotonic_time startedAt, monotonic_time now);
+
     void noteExchange();
     bool takeEarlyRetry();
 
     int openCount() const;
 
 private:
+    void closeDistrusted(monotonic_time now);
+
     mutable std::mutex m_mutex;
     int m_maxConnections;
     int m_openCount = 0;
--- a/src/flamingoroute/requests/internal/upstream_session.hpp
+++ b/src/flamingoroute/requests/internal/upstream_session.hpp
@@ -1,6 +1,8 @@
 #ifndef FLAMINGOROUTE_REQUESTS_INTERNAL_UPSTREAM_SESSION_HPP
 #define FLAMINGOROUTE_REQUESTS_INTERNAL_UPSTREAM_SESSION_HPP
 
+#include "flamingoroute/requests/body_reader.hpp"
+
 #include <Poco/Net/HTTPClientSession.h>
 
 #include <cstddef>
@@ -8,20 +10,7 @@
 
 namespace flamingoroute::internal {
 
-/// How the body of an answer ended.
-enum class body_end {
-    whole,
-    cut, ///< the connection ended first
-    malformed, ///< the framing cannot be read
-    unframed, ///< only the end of the connection would end it
-    too_large,
-};
-
-/// @return the standard name, for example "cut"
-const char* toString(body_end end);
-
-/// POCO's session on an open socket, without its silent reconnects, and with bodies whose end is checked: POCO's own
-/// streams report a cut body as an ordinary end.
+/// POCO's session on an open socket, without its silent reconnects and with bodies whose end is checked.
 class upstream_session : public Poco::Net::HTTPClientSession {
 public:
     upstream_session(const Poco::Net::StreamSocket& socket, std::size_t maxBodyBytes);
@@ -37,11 +26,6 @@
     bool hasUnreadBytes() const { return buffered() > 0; }
 
 private:
-    body_end readSized(std::size_t size, std::string& body);
-    body_end readChunked(std::string& body);
-    body_end readTrailers();
-    bool readLine(std::string& line);
-
     std::size_t m_maxBodyBytes;
 };
 
--- a/src/flamingoroute/requests/upstream_client.cpp
+++ b/src/flamingoroute/requests/upstream_client.cpp
@@ -124,7 +124,7 @@
             firstByteBy = startedAt + m_options.pool.earlyRetryAfter;
         auto end = exchange(std::move(connection), firstByteBy);
         if (end.isSilent)
-            m_pool.noteSilence(startedAt);
+            m_pool.noteSilence(startedAt, monotonicNow());
         return end;
     }
 
--- a/tests/unit/requests/upstream_client_test.cpp
+++ b/tests/unit/requests/upstream_client_test.cpp
@@ -304,4 +304,46 @@
     EXPECT_EQ(client.openConnections(), 0);
 }
 
+TEST(upstream_client, moves_a_repeatable_request_off_a_silent_connection_and_drops_the_others)
+{
+    // Of the first connections only the first request is answered; then they are silent for good.
+    constexpr int oldConnections = 3;
+    raw_upstream fake([](raw_upstream& self, StreamSocket& connection, int number) {
+        if (number > oldConnections)
+            return answerAll(self, connection, sizedAnswer("ok"));
+        self.readRequest(connection);
+        std::this_thread::sleep_for(milliseconds { 100 });
+        raw_upstream::send(connection, sizedAnswer("ok"));
+        self.waitForClose(connection);
+    });
+    upstream_client client;
+    std::vector<std::thread> callers;
+    callers.reserve(oldConnections);
+    for (int i = 0; i < oldConnections; ++i)
+        callers.emplace_back([&] { client.attempt(fake.target(), lookup(), in(milliseconds { 2000 })); });
+    for (auto& caller : callers)
+        caller.join();
+    ASSERT_EQ(client.openConnections(), oldConnections);
+    const auto first = client.attempt(fake.target(), lookup(), in(milliseconds { 2000 }));
+    EXPECT_EQ(first.outcome, attempt_outcome::answered);
+    const auto second = client.attempt(fake.target(), deposit(), in(milliseconds { 2000 }));
+    EXPECT_EQ(second.outcome, attempt_outcome::answered);
+    EXPECT_LT(second.duration, milliseconds { 200 });
+    EXPECT_EQ(client.openConnections(), 1);
+}
+
+TEST(upstream_client, trusts_no_connection_that_was_idle_for_long_with_an_unrepeatable_request)
+{
+    raw_upstream fake([](raw_upstream& self, StreamSocket& connection, int number) {
+        self.readRequest(connection);
+        raw_upstream::send(connection, sizedAnswer("answer " + std::to_string(number)));
+        self.waitForClose(connection);
+    });
+    upstream_client client;
+    EXPECT_EQ(client.attempt(fake.target(), deposit(), in(milliseconds { 2000 })).outcome, attempt_outcome::answered);
+    std::this_thread::sleep_for(milliseconds { 300 });
+    const auto second = client.attempt(fake.target(), deposit(), in(milliseconds { 500 }));
+    EXPECT_EQ(second.answer.body, "answer 2");
+}
+
 } // namespace flamingoroute::testing
