--- a/src/flamingoroute/runtime/caller_server.cpp
+++ b/src/flamingoroute/runtime/caller_server.cpp
@@ -1,42 +1,20 @@
 #include "flamingoroute/runtime/caller_server.hpp"
 
 #include "flamingoroute/requests/request_pipeline.hpp"
+#include "flamingoroute/runtime/caller_request_reader.hpp"
 
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
-#include <Poco/String.h>
 #include <Poco/URI.h>
 
-#include <algorithm>
-#include <array>
-#include <istream>
 #include <ostream>
 
 namespace flamingoroute {
 
 namespace {
 
-constexpr std::size_t readChunkBytes = 64 * 1024;
 const std::string ownPathPrefix = "/flamingo/";
 
-bool isHopByHopOrCredential(const std::string& name)
-{
-    static const std::array<const char*, 12> names { "connection", "keep-alive", "proxy-authenticate",
-        "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade", "authorization", "x-api-key",
-        "content-length", "expect" };
-    const std::string lower = Poco::toLower(name);
-    return std::find(names.begin(), names.end(), lower) != names.end();
-}
-
-std::string keyOf(const Poco::Net::HTTPServerRequest& request)
-{
-    const std::string bearer = "bearer ";
-    const std::string authorization = request.get("Authorization", "");
-    if (Poco::toLower(authorization.substr(0, bearer.size())) == bearer)
-        return authorization.substr(bearer.size());
-    return request.get("X-Api-Key", "");
-}
-
 caller_answer malformed(int status, const std::string& detail)
 {
     refusal why;
@@ -48,17 +26,6 @@
     return answer;
 }
 
-bool readBody(std::istream& stream, std::int64_t limit, std::string& body)
-{
-    std::string chunk(readChunkBytes, '\0');
-    while (stream.read(chunk.data(), static_cast<std::streamsize>(chunk.size())) || stream.gcount() > 0) {
-        body.append(chunk.data(), static_cast<std::size_t>(stream.gcount()));
-        if (static_cast<std::int64_t>(body.size()) > limit)
-            return false;
-    }
-    return true;
-}
-
 std::string clientOf(const Poco::Net::HTTPServerRequest& request)
 {
     for (const auto& [name, value] : Poco::URI(request.getURI()).getQueryParameters()) {
@@ -123,11 +90,9 @@
 
 caller_answer caller_server::answerTo(Poco::Net::HTTPServerRequest& request, bool& isBodyRead)
 {
-    caller_request read;
-    read.arrivedAt = monotonicNow();
-    read.id = m_requestIdPrefix + std::to_string(++m_requestCount);
-    if (!readBody(request.stream(), m_options.maxBodyBytes, read.body))
-        return malformed(413, "the body is larger than " + std::to_string(m_options.maxBodyBytes) + " bytes");
+    auto read = readCallerRequest(request, m_options);
+    if (!read)
+        return malformed(read.error().status, read.error().detail);
     isBodyRead = true;
     const std::string& target = request.getURI();
     if (target.compare(0, ownPathPrefix.size(), ownPathPrefix) == 0) {
@@ -138,16 +103,8 @@
             return caller_answer { m_hooks.isReady() ? 200 : 503, {}, m_hooks.isReady() ? "ready\n" : "not ready\n" };
         return malformed(404, "not a path of the system");
     }
-    read.method = request.getMethod();
-    read.target = target;
-    read.key = keyOf(request);
-    read.idempotencyKey = request.get("Idempotency-Key", "");
-    read.clientAddress = request.clientAddress().host().toString();
-    for (const auto& [name, value] : request) {
-        if (!isHopByHopOrCredential(name))
-            read.headers.push_back({ name, value });
-    }
-    return m_hooks.serve(read);
+    read->id = m_requestIdPrefix + std::to_string(++m_requestCount);
+    return m_hooks.serve(*read);
 }
 
 } // namespace flamingoroute
