Divide the slots of upstreams among instances by conserved grants

Cause: each instance counted its own slots only, so two instances of one failure domain, or of two regions, could overload an upstream together. Now one instance of a failure domain, the holder of a fenced lease, gives out the slots. Its ledger bounds what each instance may use; a bound falls only when the instance confirms after the last grant, or after lapse, deadline and a lease that was confirmed later. A successor manages only slots that instances hand over to it. Requests choose by distance among granted slots, with two random choices. Seen to fail: steering_region_spill and steering_stale_views report upstreams above their slots when bounds fall without the last grant seen, and when bounds are not counted. entry_node keeps the lease, exchanges slots and probes health through steering_duty.

--- a/src/flamingoroute/runtime/entry_node.cpp
+++ b/src/flamingoroute/runtime/entry_node.cpp
@@ -12,8 +12,10 @@
 #include "flamingoroute/runtime/lookup_json.hpp"
 #include "flamingoroute/runtime/member_directory.hpp"
 #include "flamingoroute/runtime/message_router.hpp"
+#include "flamingoroute/runtime/steering_duty.hpp"
 #include "flamingoroute/steering/lookup_table.hpp"
 #include "flamingoroute/steering/upstream_pool.hpp"
+#include "flamingoroute/store/http_object_store.hpp"
 
 #include <atomic>
 #include <thread>
@@ -36,6 +38,22 @@
     return settings;
 }
 
+http_object_store_settings storeSettings(const instance_settings& settings)
+{
+    http_object_store_settings result;
+    result.platform = settings.platformAddress;
+    result.client = settings.self.instance.value() + "/" + settings.self.failureDomain.value();
+    return result;
+}
+
+message_sender senderTo(const member_directory& directory, peer_bus& bus)
+{
+    return [&directory, &bus](const instance_id& to, process_role role, message_kind kind, std::string body) {
+        if (const auto address = directory.addressOf(to, role))
+            bus.send(*address, kind, std::move(body));
+    };
+}
+
 } // namespace
 
 struct entry_node::parts {
@@ -43,13 +61,17 @@
         : settings(std::move(given))
         , own(newIncarnation())
         , bus(settings.self.instance, process_role::entry, own)
-        , pool(identityOf(settings.self, own))
+        , store(storeSettings(settings))
+        , pool(identityOf(settings.self, own), senderTo(directory, bus))
+        , steering(pool, store, settings.self, own, [this] { return directory.all(); })
         , pipeline(pipelineHooks())
         , callers(settings.entry, settings.self.instance.value() + "-" + std::to_string(own) + "-", serverHooks())
     {
         directory.put(settings.self);
         for (const auto& peer : settings.peers)
             directory.put(peer);
+        for (const auto kind : { message_kind::slot_request, message_kind::slot_grant })
+            router.on(kind, [this](const envelope& message) { steering.post(message); });
     }
 
     pipeline_hooks pipelineHooks();
@@ -65,7 +87,9 @@
     peer_bus bus;
     configuration_holder holder;
     key_table keys;
+    http_object_store store;
     upstream_pool pool;
+    steering_duty steering;
     upstream_client client;
     std::atomic<lookup_table_ptr> lookups;
     request_pipeline pipeline;
@@ -157,6 +181,7 @@
         = p.bus.listen(p.settings.self.entryAddress, [&p](const envelope& message) { p.router.route(message); });
     if (!listening)
         return listening;
+    p.steering.start();
     p.config = std::make_unique<config_poll>(p.settings, [&p](const configuration_ptr& current) { p.adopt(current); });
     const auto started = p.callers.start(p.settings.self.callerAddress);
     if (!started)
@@ -180,6 +205,7 @@
         std::this_thread::sleep_for(stopPoll);
     p.callers.stop(std::chrono::duration_cast<milliseconds>(giveUpAt - monotonicNow()));
     p.config.reset();
+    p.steering.stop();
     p.bus.stop();
     event_line(log_level::info, "entry.stopped");
 }
--- /dev/null
+++ b/src/flamingoroute/runtime/steering_duty.hpp
@@ -0,0 +1,54 @@
+#ifndef FLAMINGOROUTE_RUNTIME_STEERING_DUTY_HPP
+#define FLAMINGOROUTE_RUNTIME_STEERING_DUTY_HPP
+
+#include "flamingoroute/model/member.hpp"
+#include "flamingoroute/peers/envelope.hpp"
+#include "flamingoroute/runtime/duty_thread.hpp"
+#include "flamingoroute/steering/allocator_lease.hpp"
+#include "flamingoroute/steering/upstream_pool.hpp"
+#include "flamingoroute/store/object_store.hpp"
+
+#include <functional>
+#include <vector>
+
+namespace flamingoroute {
+
+/// Runs what steering does beside requests: the exchange of slots, the lease of the allocator's role and the probing
+/// of health endpoints, each on a thread of its own, so that a slow platform or upstream delays no grant.
+class steering_duty {
+public:
+    /// @param pool outlives the duty
+    /// @param store the platform, called from the lease's thread only
+    /// @param self this instance
+    /// @param own its incarnation
+    /// @param members tells the known instances, this one included
+    steering_duty(upstream_pool& pool, object_store& store, const member& self, incarnation own,
+        std::function<std::vector<member>()> members);
+
+    void start();
+
+    /// Gives the allocator's role back and ends the threads.
+    void stop();
+
+    /// Takes in a slot_request or slot_grant. Does not block; a full ring drops the message, which is sent again.
+    void post(const envelope& message) { m_exchange.post(message); }
+
+private:
+    allocator_lease_hooks leaseHooks();
+    void stepLease();
+    void probeAll();
+    std::size_t rank() const;
+
+    upstream_pool& m_pool;
+    member m_self;
+    std::function<std::vector<member>()> m_members;
+    allocator_lease m_lease;
+    std::uint64_t m_leaseSteps = 0;
+    duty_thread<envelope> m_exchange;
+    duty_thread<int> m_leaseThread;
+    duty_thread<int> m_probes;
+};
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/steering/internal/connection_subset.cpp
@@ -0,0 +1,31 @@
+#include "flamingoroute/steering/internal/connection_subset.hpp"
+
+#include "flamingoroute/steering/internal/hash64.hpp"
+
+namespace flamingoroute {
+
+bool mayConnect(const instance_id& self, const upstream& target, const std::vector<member>& members,
+    const steering_settings& settings)
+{
+    const auto room
+        = static_cast<std::size_t>(target.maxConnections * settings.connectionShare / settings.connectionsPerInstance);
+    if (members.size() <= room)
+        return true;
+    const auto salt = hash64(target.name.value());
+    const auto ownScore = mix64(salt ^ hash64(self.value()));
+    const auto isLocal = [&](const member& who) { return who.failureDomain == target.failureDomain; };
+    bool isSelfLocal = false;
+    for (const auto& who : members)
+        isSelfLocal = isSelfLocal || (who.instance == self && isLocal(who));
+    std::size_t before = 0;
+    for (const auto& who : members) {
+        if (who.instance == self)
+            continue;
+        const bool isBefore
+            = isLocal(who) == isSelfLocal ? mix64(salt ^ hash64(who.instance.value())) > ownScore : isLocal(who);
+        before += isBefore ? 1 : 0;
+    }
+    return before < room;
+}
+
+} // namespace flamingoroute
--- /dev/null
+++ b/src/flamingoroute/steering/internal/water_fill.hpp
@@ -0,0 +1,33 @@
+#ifndef FLAMINGOROUTE_STEERING_INTERNAL_WATER_FILL_HPP
+#define FLAMINGOROUTE_STEERING_INTERNAL_WATER_FILL_HPP
+
+#include <cstddef>
+#include <vector>
+
+namespace flamingoroute {
+
+/// Divides whole units so that the smallest part is as large as can be (max-min fairness).
+/// @param wanted no part gets more than it wants
+/// @param total the units to divide; reduced by what is given
+/// @param firstServed index of the part that is served first when units are scarce
+inline std::vector<int> waterFill(const std::vector<int>& wanted, int& total, std::size_t firstServed)
+{
+    std::vector<int> given(wanted.size(), 0);
+    bool isAnyServed = true;
+    while (total > 0 && isAnyServed) {
+        isAnyServed = false;
+        for (std::size_t step = 0; step < wanted.size() && total > 0; ++step) {
+            const auto index = (firstServed + step) % wanted.size();
+            if (given[index] >= wanted[index])
+                continue;
+            ++given[index];
+            --total;
+            isAnyServed = true;
+        }
+    }
+    return given;
+}
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/steering/request_queue.cpp
@@ -0,0 +1,144 @@
+#include "flamingoroute/steering/request_queue.hpp"
+
+#include <algorithm>
+
+namespace flamingoroute {
+
+request_queue::request_queue(steering_settings settings)
+    : m_settings(settings)
+{
+}
+
+bool request_queue::push(waiting_request request, int weight)
+{
+    if (m_size >= m_settings.queueTotal)
+        return false;
+    auto& into = queueOf(request.wish.requestClass);
+    const auto customer = request.wish.customer;
+    auto& own = into.lanes[customer];
+    if (own.requests.size() >= m_settings.queuePerCustomer)
+        return false;
+    if (own.requests.empty())
+        into.order.push_back(customer);
+    own.weight = std::max(1, weight);
+    own.requests.push_back(std::move(request));
+    ++m_size;
+    return true;
+}
+
+std::optional<waiting_request> request_queue::popFirst(const std::function<bool(const waiting_request&)>& canStart)
+{
+    auto& interactive = queueOf(request_class::interactive);
+    auto& bulk = queueOf(request_class::bulk);
+    const bool isBulkDue = m_interactiveInRow >= m_settings.interactivePerBulk;
+    if (isBulkDue) {
+        if (auto found = popFrom(bulk, canStart)) {
+            m_interactiveInRow = 0;
+            return found;
+        }
+    }
+    if (auto found = popFrom(interactive, canStart)) {
+        m_interactiveInRow = bulk.order.empty() ? 0 : m_interactiveInRow + 1;
+        return found;
+    }
+    m_interactiveInRow = 0;
+    return popFrom(bulk, canStart);
+}
+
+std::optional<waiting_request> request_queue::popFrom(
+    class_queue& from, const std::function<bool(const waiting_request&)>& canStart)
+{
+    for (std::size_t place = 0; place < from.order.size(); ++place) {
+        const auto customer = from.order[place];
+        auto& own = from.lanes[customer];
+        if (!canStart(own.requests.front()))
+            continue;
+        if (own.deficit <= 0)
+            own.deficit = own.weight;
+        auto found = std::move(own.requests.front());
+        own.requests.pop_front();
+        --own.deficit;
+        --m_size;
+        const bool isTurnOver = own.deficit <= 0 || own.requests.empty();
+        if (isTurnOver) {
+            from.order.erase(from.order.begin() + static_cast<std::ptrdiff_t>(place));
+            own.deficit = 0;
+            if (own.requests.empty())
+                from.lanes.erase(customer);
+            else
+                from.order.push_back(customer);
+        }
+        return found;
+    }
+    return std::nullopt;
+}
+
+std::vector<waiting_request> request_queue::takeIf(const std::function<bool(const waiting_request&)>& isWanted)
+{
+    std::vector<waiting_request> taken;
+    for (auto& from : m_classes) {
+        for (auto& [customer, own] : from.lanes) {
+            for (const auto& request : own.requests) {
+                if (isWanted(request))
+                    taken.push_back(request);
+            }
+            std::erase_if(own.requests, isWanted);
+        }
+        dropEmptyLanes(from);
+    }
+    m_size -= taken.size();
+    return taken;
+}
+
+void request_queue::dropEmptyLanes(class_queue& from)
+{
+    std::erase_if(from.lanes, [](const auto& item) { return item.second.requests.empty(); });
+    std::erase_if(from.order, [&](const customer_id& customer) { return !from.lanes.contains(customer); });
+}
+
+std::vector<waiting_request> request_queue::dropLate(monotonic_time earliestEnd)
+{
+    return takeIf([earliestEnd](const waiting_request& request) { return request.wish.deadline < earliestEnd; });
+}
+
+bool request_queue::remove(std::uint64_t ticket)
+{
+    return !takeIf([ticket](const waiting_request& request) { return request.ticket == ticket; }).empty();
+}
+
+std::size_t request_queue::aheadOf(const customer_id& customer, request_class wanted, int weight) const
+{
+    std::size_t ahead = 0;
+    std::size_t sumOfWeights = static_cast<std::size_t>(std::max(1, weight));
+    std::size_t own = 0;
+    const auto& interactive = m_classes[static_cast<std::size_t>(request_class::interactive)];
+    const auto& mine = m_classes[static_cast<std::size_t>(wanted)];
+    for (const auto& [other, line] : mine.lanes) {
+        ahead += line.requests.size();
+        if (other == customer)
+            own = line.requests.size();
+        else
+            sumOfWeights += static_cast<std::size_t>(line.weight);
+    }
+    const auto fair = (own + 1) * sumOfWeights / static_cast<std::size_t>(std::max(1, weight));
+    ahead = std::min(ahead, fair);
+    if (wanted == request_class::bulk) {
+        for (const auto& [other, line] : interactive.lanes)
+            ahead += line.requests.size();
+    }
+    return ahead;
+}
+
+std::optional<monotonic_time> request_queue::oldest() const
+{
+    std::optional<monotonic_time> first;
+    for (const auto& from : m_classes) {
+        for (const auto& [customer, own] : from.lanes) {
+            if (!first || own.requests.front().since < *first)
+                first = own.requests.front().since;
+        }
+    }
+    return first;
+}
+
+} // namespace flamingoroute
--- /dev/null
+++ b/src/flamingoroute/steering/request_queue.hpp
@@ -0,0 +1,71 @@
+#ifndef FLAMINGOROUTE_STEERING_REQUEST_QUEUE_HPP
+#define FLAMINGOROUTE_STEERING_REQUEST_QUEUE_HPP
+
+#include "flamingoroute/steering/steering_settings.hpp"
+#include "flamingoroute/steering/waiting_request.hpp"
+
+#include <array>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace flamingoroute {
+
+/// Requests that wait for a slot of one service version. Pure.
+/// Customers are served by deficit round robin in proportion to their weights, interactive requests before bulk ones,
+/// but one bulk request after a set number of interactive ones. Bounded per customer and in all.
+class request_queue {
+public:
+    explicit request_queue(steering_settings settings);
+
+    /// @param weight of the request's customer
+    /// @return false if the queue is full for this customer
+    bool push(waiting_request request, int weight);
+
+    /// @param canStart asked of the oldest request of each customer, in the order of service
+    /// @return the first request that can start, taken out of the queue
+    std::optional<waiting_request> popFirst(const std::function<bool(const waiting_request&)>& canStart);
+
+    /// @return the requests whose deadline lies before @p earliestEnd, taken out of the queue
+    std::vector<waiting_request> dropLate(monotonic_time earliestEnd);
+
+    /// Takes a request out.
+    /// @return false if it does not wait here
+    bool remove(std::uint64_t ticket);
+
+    std::size_t size() const { return m_size; }
+
+    /// @return requests that a new one of this customer would wait for, fairness counted
+    std::size_t aheadOf(const customer_id& customer, request_class wanted, int weight) const;
+
+    /// @return when the oldest waiting request came
+    std::optional<monotonic_time> oldest() const;
+
+private:
+    struct lane {
+        std::deque<waiting_request> requests;
+        int weight = 1;
+        int deficit = 0;
+    };
+    struct class_queue {
+        std::map<customer_id, lane> lanes;
+        std::deque<customer_id> order;
+    };
+
+    class_queue& queueOf(request_class wanted) { return m_classes[static_cast<std::size_t>(wanted)]; }
+    std::optional<waiting_request> popFrom(
+        class_queue& from, const std::function<bool(const waiting_request&)>& canStart);
+    void dropEmptyLanes(class_queue& from);
+    std::vector<waiting_request> takeIf(const std::function<bool(const waiting_request&)>& isWanted);
+
+    steering_settings m_settings;
+    std::array<class_queue, 2> m_classes;
+    std::size_t m_size = 0;
+    int m_interactiveInRow = 0;
+};
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/steering/settled_request.hpp
@@ -0,0 +1,23 @@
+#ifndef FLAMINGOROUTE_STEERING_SETTLED_REQUEST_HPP
+#define FLAMINGOROUTE_STEERING_SETTLED_REQUEST_HPP
+
+#include "flamingoroute/model/refusal.hpp"
+#include "flamingoroute/steering/chosen_upstream.hpp"
+
+#include <tl/expected.hpp>
+
+#include <cstdint>
+
+namespace flamingoroute {
+
+/// A request that left the queue: with a slot, or refused.
+struct settled_request {
+    std::uint64_t ticket = 0;
+    tl::expected<chosen_upstream, refusal> result;
+
+    bool operator==(const settled_request&) const = default;
+};
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/steering/steering_exchange.cpp
@@ -0,0 +1,170 @@
+#include "flamingoroute/peers/message_body.hpp"
+#include "flamingoroute/steering/internal/hash64.hpp"
+#include "flamingoroute/steering/steering_core.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace flamingoroute {
+
+void steering_core::updateWants(service_set& set, monotonic_time now)
+{
+    const auto oldest = set.queue.oldest();
+    const auto waited = oldest ? now - *oldest : microseconds { 0 };
+    bool isNearerUsable = false;
+    for (const auto& ring : set.rings) {
+        const bool isOpen = oldest && (!isNearerUsable || waited >= ring.distance);
+        wantInRing(set, ring, isOpen ? set.queue.size() : 0, now);
+        isNearerUsable
+            = isNearerUsable || std::any_of(ring.upstreams.begin(), ring.upstreams.end(), [&](const auto* target) {
+                  return isUsable(*target, {}, now) && !m_health.isEjected(target->name, now);
+              });
+    }
+}
+
+void steering_core::wantInRing(
+    const service_set& set, const upstream_ring& ring, std::size_t waiting, monotonic_time now)
+{
+    std::vector<const upstream*> usable;
+    for (const auto* target : ring.upstreams) {
+        if (isUsable(*target, {}, now) && !m_health.isEjected(target->name, now))
+            usable.push_back(target);
+        else
+            holderOf(target->failureDomain).want(target->name, holderOf(target->failureDomain).busy(target->name), now);
+    }
+    if (usable.empty())
+        return;
+    const auto each = static_cast<int>((waiting + usable.size() - 1) / usable.size());
+    const double bytes = std::max(set.answerBytes[0], set.answerBytes[1]) * each;
+    for (const auto* target : usable) {
+        auto& holder = holderOf(target->failureDomain);
+        const int busy = holder.busy(target->name);
+        holder.want(target->name, std::min(target->slots, busy + each), now);
+        if (ring.isOtherRegion)
+            holder.wantLinkBytes(static_cast<std::uint64_t>(bytes * static_cast<double>(usable.size())));
+    }
+}
+
+/// Sends the requests and grants that are due, and takes in those of the own allocator at once.
+void steering_core::exchange(monotonic_time now)
+{
+    for (const auto& target : m_current->upstreams) {
+        if (m_ledger.isActive() && target.failureDomain == m_self.failureDomain)
+            closeIfUnfit(target, now);
+    }
+    for (auto& [domain, holder] : m_holders) {
+        const auto allocator = allocatorOf(domain, now);
+        const bool isSelf = allocator == m_self.instance;
+        if (allocator.empty())
+            continue;
+        if (auto request = holder.takeRequest(isSelf ? milliseconds { 0 } : m_settings.askInterval, now))
+            sendRequest(domain, *request, now);
+    }
+    sendGrants(now);
+}
+
+void steering_core::closeIfUnfit(const upstream& target, monotonic_time now)
+{
+    const bool isLeaving = m_health.isLeaving(target.name, now);
+    m_ledger.close(target.name, isLeaving || m_health.isEjected(target.name, now), isLeaving);
+}
+
+instance_id steering_core::allocatorOf(const failure_domain_id& domain, monotonic_time now)
+{
+    if (domain == m_self.failureDomain && m_ledger.isActive())
+        return m_self.instance;
+    auto& holder = holderOf(domain);
+    const auto known = m_allocators.find(domain);
+    const bool isSilent = holder.isWaiting() && now - holder.heardAt() > 2 * m_settings.renewInterval;
+    if (known != m_allocators.end() && !isSilent)
+        return known->second;
+    std::vector<instance_id> candidates;
+    for (const auto& who : m_members) {
+        if (who.failureDomain == domain && who.instance != m_self.instance)
+            candidates.push_back(who.instance);
+    }
+    if (candidates.empty())
+        return {};
+    return candidates[m_requestsRouted % candidates.size()];
+}
+
+void steering_core::sendRequest(const failure_domain_id& domain, const slot_request& request, monotonic_time now)
+{
+    auto sent = request;
+    if (domain == m_self.failureDomain)
+        sent.endedEpoch = m_endedEpoch;
+    const auto to = allocatorOf(domain, now);
+    ++m_requestsRouted;
+    if (to == m_self.instance)
+        m_ledger.receive(sent, now);
+    else
+        m_messages.push_back({ to, message_kind::slot_request, packBody(sent) });
+}
+
+void steering_core::sendGrants(monotonic_time now)
+{
+    for (const auto& grant : m_ledger.takeGrants(now)) {
+        if (grant.instance == m_self.instance.value())
+            receiveGrant(m_self.instance, grant, now);
+        else
+            m_messages.push_back({ instance_id(grant.instance), message_kind::slot_grant, packBody(grant) });
+    }
+}
+
+void steering_core::receive(const instance_id& from, message_kind kind, const std::string& body, monotonic_time now)
+{
+    if (!m_current)
+        return;
+    if (kind == message_kind::slot_request) {
+        if (auto request = unpackBody<slot_request>(body))
+            receiveRequest(std::move(*request), now);
+    } else if (kind == message_kind::slot_grant) {
+        if (const auto grant = unpackBody<slot_grant>(body))
+            receiveGrant(from, *grant, now);
+    }
+    for (auto& [key, set] : m_sets)
+        dispatch(set, now);
+    exchange(now);
+}
+
+void steering_core::receiveRequest(slot_request request, monotonic_time now)
+{
+    if (request.domain != m_self.failureDomain.value())
+        return;
+    for (const auto& name : request.leaving)
+        m_health.noteHeardLeaving(upstream_id(name), now);
+    if (m_ledger.isActive()) {
+        const auto before = m_ledger.epoch();
+        m_ledger.receive(request, now);
+        if (!m_ledger.isActive()) {
+            m_endedEpoch = std::max(m_endedEpoch, before);
+            holderOf(m_self.failureDomain).noteEpoch(request.epoch);
+        }
+        return;
+    }
+    const auto known = m_allocators.find(m_self.failureDomain);
+    if (request.isForwarded || known == m_allocators.end())
+        return;
+    request.isForwarded = true;
+    m_messages.push_back({ known->second, message_kind::slot_request, packBody(request) });
+}
+
+void steering_core::receiveGrant(const instance_id& from, const slot_grant& grant, monotonic_time now)
+{
+    const failure_domain_id domain(grant.domain);
+    const auto found = m_holders.find(domain);
+    if (found == m_holders.end() || grant.epoch < found->second.epoch())
+        return;
+    if (domain == m_self.failureDomain && grant.epoch > m_ledger.epoch() && m_ledger.isActive()) {
+        m_endedEpoch = std::max(m_endedEpoch, m_ledger.epoch());
+        m_ledger.end();
+    }
+    m_allocators[domain] = from;
+    found->second.receive(grant, now);
+    if (from == m_self.instance)
+        return; // its own word would keep itself alive
+    for (const auto& name : grant.leaving)
+        m_health.noteHeardLeaving(upstream_id(name), now);
+}
+
+} // namespace flamingoroute
--- a/src/flamingoroute/steering/upstream_pool.cpp
+++ b/src/flamingoroute/steering/upstream_pool.cpp
@@ -1,113 +1,174 @@
 #include "flamingoroute/steering/upstream_pool.hpp"
 
-#include <algorithm>
+#include "flamingoroute/steering/internal/hash64.hpp"
+#include "flamingoroute/steering/steering_core.hpp"
+
 #include <condition_variable>
 #include <map>
 #include <mutex>
-#include <set>
+#include <random>
 
 namespace flamingoroute {
 
 namespace {
 
-refusal refuse(refusal_reason reason, const std::string& detail)
+/// A thread that waits for its request to be settled.
+struct waiter {
+    std::condition_variable settled;
+    std::optional<tl::expected<chosen_upstream, refusal>> result;
+};
+
+refusal tooLate()
 {
     refusal why;
-    why.reason = reason;
+    why.reason = refusal_reason::no_capacity;
     why.step = "steering.acquire";
-    why.detail = detail;
+    why.detail = "no slot became free in time";
+    why.retryAfter = milliseconds { 1000 };
     return why;
 }
 
 } // namespace
 
 struct upstream_pool::state {
-    steering_identity self;
-    std::mutex mutex;
-    std::condition_variable changed;
-    configuration_ptr current;
-    std::map<upstream_id, int> busy;
-    std::set<upstream_id> leaving;
-    std::uint64_t lastTicket = 0;
-
-    /// @return 0 in the own failure domain, 1 in the own region, 2 elsewhere
-    int tierOf(const upstream& candidate) const
+    state(const steering_identity& self, message_sender sender, const steering_settings& settings)
+        : send(std::move(sender))
+        , generator(hash64(self.instance.value()) ^ self.ownIncarnation)
+        , core(self, settings, [this](std::size_t bound) { return generator() % bound; })
     {
-        if (candidate.failureDomain == self.failureDomain)
-            return 0;
-        const auto& domains = current->failureDomains;
-        const auto isHome = std::any_of(domains.begin(), domains.end(), [&](const failure_domain& domain) {
-            return domain.name == candidate.failureDomain && domain.region == self.region;
-        });
-        return isHome ? 1 : 2;
     }
 
-    bool isUsable(const upstream& candidate, const upstream_wish& wish) const
+    /// Runs one step of the core, wakes who is settled and sends what came of it.
+    template <typename Step> void run(Step step)
     {
-        return candidate.service == wish.service && candidate.version == wish.version && !candidate.isLeaving
-            && !leaving.contains(candidate.name)
-            && std::find(wish.tried.begin(), wish.tried.end(), candidate.name) == wish.tried.end();
+        std::vector<steering_message> messages;
+        {
+            const std::lock_guard lock(mutex);
+            step(monotonicNow());
+            settleWaiters();
+            messages = core.takeMessages();
+        }
+        sendAll(messages);
     }
 
-    const upstream* choose(const upstream_wish& wish, bool& isAnyUsable)
+    void settleWaiters()
     {
-        const upstream* best = nullptr;
-        std::pair<int, int> bestRank;
-        for (const auto& candidate : current->upstreams) {
-            if (!isUsable(candidate, wish))
+        for (auto& settled : core.takeSettled()) {
+            const auto found = waiters.find(settled.ticket);
+            if (found == waiters.end())
                 continue;
-            isAnyUsable = true;
-            const int inFlight = busy[candidate.name];
-            const std::pair<int, int> rank { tierOf(candidate), inFlight };
-            if (inFlight < candidate.slots && (!best || rank < bestRank)) {
-                best = &candidate;
-                bestRank = rank;
-            }
+            found->second->result = std::move(settled.result);
+            found->second->settled.notify_one();
         }
-        return best;
     }
+
+    void sendAll(std::vector<steering_message>& messages) const
+    {
+        if (!send)
+            return;
+        for (auto& message : messages)
+            send(message.to, process_role::entry, message.kind, std::move(message.body));
+    }
+
+    message_sender send;
+    std::mutex mutex;
+    std::mt19937_64 generator;
+    steering_core core;
+    std::map<std::uint64_t, waiter*> waiters;
+    std::uint64_t lastTicket = 0;
 };
 
-upstream_pool::upstream_pool(steering_identity self)
-    : m_state(std::make_unique<state>())
+upstream_pool::upstream_pool(steering_identity self, message_sender send, steering_settings settings)
+    : m_state(std::make_unique<state>(self, std::move(send), settings))
 {
-    m_state->self = std::move(self);
 }
 
 upstream_pool::~upstream_pool() = default;
 
 void upstream_pool::adopt(configuration_ptr current)
+{
+    m_state->run([&](monotonic_time now) { m_state->core.adopt(std::move(current), now); });
+}
+
+void upstream_pool::setMembers(std::vector<member> members)
+{
+    m_state->run([&](monotonic_time) { m_state->core.setMembers(std::move(members)); });
+}
+
+void upstream_pool::beginAllocating(const allocator_role& role)
+{
+    m_state->run([&](monotonic_time now) { m_state->core.beginAllocating(role, now); });
+}
+
+void upstream_pool::endAllocating()
+{
+    m_state->run([&](monotonic_time now) { m_state->core.endAllocating(now); });
+}
+
+void upstream_pool::noteAllocator(const instance_id& holder, std::uint64_t epoch)
+{
+    m_state->run([&](monotonic_time now) { m_state->core.noteAllocator(holder, epoch, now); });
+}
+
+void upstream_pool::confirmLease(monotonic_time askedAt)
+{
+    m_state->run([&](monotonic_time) { m_state->core.confirmLease(askedAt); });
+}
+
+bool upstream_pool::hasReserve() const
 {
     const std::lock_guard lock(m_state->mutex);
-    m_state->current = std::move(current);
-    m_state->changed.notify_all();
+    return m_state->core.ledger().hasReserve();
+}
+
+void upstream_pool::proveGone(const instance_id& gone, incarnation alive)
+{
+    m_state->run([&](monotonic_time now) { m_state->core.proveGone(gone, alive, now); });
 }
 
 tl::expected<chosen_upstream, refusal> upstream_pool::acquire(const upstream_wish& wish)
 {
+    waiter own;
+    std::uint64_t ticket = 0;
+    m_state->run([&](monotonic_time now) {
+        ticket = ++m_state->lastTicket;
+        m_state->waiters.emplace(ticket, &own);
+        m_state->core.enqueue(ticket, wish, now);
+    });
     std::unique_lock lock(m_state->mutex);
-    while (true) {
-        if (!m_state->current)
-            return tl::unexpected(refuse(refusal_reason::not_ready, "no configuration is in force yet"));
-        bool isAnyUsable = false;
-        if (const auto* best = m_state->choose(wish, isAnyUsable)) {
-            ++m_state->busy[best->name];
-            return chosen_upstream { *best, ++m_state->lastTicket };
-        }
-        if (!isAnyUsable)
-            return tl::unexpected(refuse(refusal_reason::no_healthy_upstream, "no upstream runs this version"));
-        if (m_state->changed.wait_until(lock, wish.deadline) == std::cv_status::timeout)
-            return tl::unexpected(refuse(refusal_reason::no_capacity, "no slot became free in time"));
+    own.settled.wait_until(lock, wish.deadline, [&own] { return own.result.has_value(); });
+    m_state->waiters.erase(ticket);
+    if (!own.result) {
+        m_state->core.abandon(ticket);
+        return tl::unexpected(tooLate());
     }
+    return *own.result;
 }
 
 void upstream_pool::release(const chosen_upstream& chosen, const attempt_result& result)
+{
+    m_state->run([&](monotonic_time now) { m_state->core.release(chosen, result, now); });
+}
+
+void upstream_pool::receive(const envelope& message)
+{
+    m_state->run([&](monotonic_time now) { m_state->core.receive(message.from, message.kind, message.body, now); });
+}
+
+void upstream_pool::noteProbe(const upstream_id& target, const probe_answer& answer)
+{
+    m_state->run([&](monotonic_time now) { m_state->core.noteProbe(target, answer, now); });
+}
+
+std::vector<upstream> upstream_pool::upstreamsToProbe() const
 {
     const std::lock_guard lock(m_state->mutex);
-    --m_state->busy[chosen.target.name];
-    if (result.isUpstreamLeaving)
-        m_state->leaving.insert(chosen.target.name);
-    m_state->changed.notify_all();
+    return m_state->core.upstreamsToProbe();
+}
+
+void upstream_pool::tick()
+{
+    m_state->run([&](monotonic_time now) { m_state->core.tick(now); });
 }
 
 } // namespace flamingoroute
--- /dev/null
+++ b/src/flamingoroute/steering/waiting_request.hpp
@@ -0,0 +1,21 @@
+#ifndef FLAMINGOROUTE_STEERING_WAITING_REQUEST_HPP
+#define FLAMINGOROUTE_STEERING_WAITING_REQUEST_HPP
+
+#include "flamingoroute/steering/upstream_wish.hpp"
+
+#include <cstdint>
+
+namespace flamingoroute {
+
+/// A request in the queue.
+struct waiting_request {
+    std::uint64_t ticket = 0;
+    upstream_wish wish;
+    monotonic_time since;
+
+    bool operator==(const waiting_request&) const = default;
+};
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/tests/scenarios/steering_world.cpp
@@ -0,0 +1,242 @@
+#include "steering_fleet.hpp"
+#include "support/scenario/scenario.hpp"
+#include "support/scenario/world_registry.hpp"
+
+#include <algorithm>
+
+namespace flamingoroute::testing {
+
+namespace {
+
+using outcome = tl::expected<void, scenario_error>;
+
+outcome fail(const std::string& word, const std::string& detail)
+{
+    return tl::unexpected(scenario_error { 0, word, detail });
+}
+
+/// The world `steering`. Names: region r1, failure domain r1d1, instance r1d1i1, upstream r1d1u1; a place is the
+/// beginning of names. Commands:
+///
+///     fleet KEY VALUE...                  regions, domains, instances, upstreams, slots, service, distance, link,
+///                                         answer, deadline; starts the fleet
+///     load CUSTOMER interactive|bulk at PLACE RATE        requests a second
+///     stop load CUSTOMER
+///     weight CUSTOMER NUMBER
+///     messages lost|doubled SHARE         from 0 to 1
+///     messages late TIME                  each by up to TIME more
+///     cut PLACE from PLACE                `platform` is a place, too
+///     heal
+///     platform down|up
+///     kill|restart|pause|resume INSTANCE
+///     upstreams at PLACE broken|mended|leaving|lying|slow FACTOR|frozen LOAD|withdrawn
+///     forget                              begins to count answers anew
+///     expect no overload at PLACE
+///     expect customer NAME answered >= SHARE | refused <= SHARE | p99 <= TIME
+///     expect no work at PLACE after TIME  of the upstream's own leaving
+///     expect link REGION to REGION <= MEGABITS
+class steering_world : public scenario_world {
+public:
+    explicit steering_world(std::uint64_t seed)
+        : m_seed(seed)
+    {
+    }
+
+    void advanceTo(microseconds now) override
+    {
+        if (m_fleet)
+            m_fleet->advanceTo(now);
+    }
+
+    outcome run(const scenario_command& command) override
+    {
+        m_words = command.words;
+        m_words.resize(std::max<std::size_t>(m_words.size(), 8));
+        try {
+            if (m_words[0] == "fleet")
+                return startFleet(command.words);
+            if (!m_fleet)
+                return fail(m_words[0], "comes before the fleet");
+            if (m_words[0] == "expect")
+                return expect();
+            if (m_words[0] == "upstreams")
+                return changeUpstreams();
+            return change();
+        } catch (const std::exception&) {
+            return fail(m_words[0], "has a word that cannot be read");
+        }
+    }
+
+private:
+    static microseconds timeOf(const std::string& word)
+    {
+        microseconds result { 0 };
+        if (!parseDuration(word, result))
+            throw std::invalid_argument(word);
+        return result;
+    }
+
+    static milliseconds millisecondsOf(const std::string& word)
+    {
+        return std::chrono::duration_cast<milliseconds>(timeOf(word));
+    }
+
+    outcome startFleet(const std::vector<std::string>& words)
+    {
+        fleet_layout layout;
+        const std::map<std::string, std::function<void(const std::string&)>> setters {
+            { "regions", [&](const auto& word) { layout.regions = std::stoi(word); } },
+            { "domains", [&](const auto& word) { layout.domains = std::stoi(word); } },
+            { "instances", [&](const auto& word) { layout.instances = std::stoi(word); } },
+            { "upstreams", [&](const auto& word) { layout.upstreams = std::stoi(word); } },
+            { "slots", [&](const auto& word) { layout.slots = std::stoi(word); } },
+            { "service", [&](const auto& word) { layout.serviceTime = millisecondsOf(word); } },
+            { "distance", [&](const auto& word) { layout.regionDistance = millisecondsOf(word); } },
+            { "deadline", [&](const auto& word) { layout.deadline = millisecondsOf(word); } },
+            { "link", [&](const auto& word) { layout.linkMegabits = std::stoi(word); } },
+            { "answer", [&](const auto& word) { layout.answerBytes = std::stoi(word); } },
+        };
+        for (std::size_t i = 1; i + 1 < words.size(); i += 2) {
+            const auto setter = setters.find(words[i]);
+            if (setter == setters.end())
+                return fail(words[i], "is no size of a fleet");
+            setter->second(words[i + 1]);
+        }
+        m_fleet = std::make_unique<steering_fleet>(layout, m_seed);
+        return {};
+    }
+
+    outcome change()
+    {
+        const auto& w = m_words;
+        if (w[0] == "load" && w[3] == "at")
+            m_fleet->startLoad(
+                w[1], w[2] == "bulk" ? request_class::bulk : request_class::interactive, w[4], std::stod(w[5]));
+        else if (w[0] == "stop" && w[1] == "load")
+            m_fleet->stopLoad(w[2]);
+        else if (w[0] == "weight")
+            m_fleet->setWeight(w[1], std::stoi(w[2]));
+        else if (w[0] == "messages" && w[1] == "lost")
+            m_fleet->loseMessages(std::stod(w[2]));
+        else if (w[0] == "messages" && w[1] == "doubled")
+            m_fleet->doubleMessages(std::stod(w[2]));
+        else if (w[0] == "messages" && w[1] == "late")
+            m_fleet->delayMessages(timeOf(w[2]));
+        else if (w[0] == "cut" && w[2] == "from")
+            m_fleet->cut(w[1], w[3]);
+        else if (w[0] == "heal")
+            m_fleet->heal();
+        else if (w[0] == "platform")
+            m_fleet->setPlatform(w[1] == "up");
+        else if (w[0] == "kill")
+            m_fleet->kill(w[1]);
+        else if (w[0] == "restart")
+            m_fleet->restart(w[1]);
+        else if (w[0] == "pause" || w[0] == "resume")
+            m_fleet->pause(w[1], w[0] == "pause");
+        else if (w[0] == "forget")
+            m_fleet->clearTallies();
+        else
+            return fail(w[0], "is not a command of this world");
+        return {};
+    }
+
+    outcome changeUpstreams()
+    {
+        const auto& w = m_words;
+        for (auto* target : m_fleet->upstreamsAt(w[2])) {
+            if (w[3] == "broken" || w[3] == "mended")
+                target->isBroken = w[3] == "broken";
+            else if (w[3] == "lying")
+                target->doesHealthLie = true;
+            else if (w[3] == "slow")
+                target->slowness = std::stod(w[4]);
+            else if (w[3] == "frozen")
+                target->frozenLoad = std::stod(w[4]);
+            else if (w[3] == "leaving" || w[3] == "withdrawn")
+                target->leavingSince = m_fleet->now();
+            else
+                return fail(w[3], "is no state of upstreams");
+            target->isLeaving = target->isLeaving || w[3] == "leaving";
+        }
+        if (w[3] == "withdrawn") {
+            m_fleet->changeConfiguration([&](configuration& next) {
+                for (auto& target : next.upstreams)
+                    target.isLeaving = target.isLeaving || target.name.value().starts_with(w[2]);
+            });
+        }
+        return {};
+    }
+
+    outcome expect()
+    {
+        const auto& w = m_words;
+        if (w[1] == "no" && w[2] == "overload")
+            return expectNoOverload(w[4]);
+        if (w[1] == "no" && w[2] == "work")
+            return expectNoWork(w[4], timeOf(w[6]));
+        if (w[1] == "customer")
+            return expectCustomer();
+        if (w[1] == "link") {
+            const double megabits = m_fleet->worstLinkBytes(w[2], w[4]) * 8 / 1e6;
+            if (megabits > std::stod(w[6]))
+                return fail(w[2], "carried " + std::to_string(megabits) + " Mbit in a second");
+            return {};
+        }
+        return fail(w[1], "is nothing to expect");
+    }
+
+    outcome expectNoOverload(const std::string& place)
+    {
+        for (const auto* target : m_fleet->upstreamsAt(place)) {
+            if (target->worstOverload > 0)
+                return fail(target->object.name.value(),
+                    "ran " + std::to_string(target->worstOverload) + " requests above its slots");
+        }
+        return {};
+    }
+
+    outcome expectNoWork(const std::string& place, microseconds after)
+    {
+        for (const auto* target : m_fleet->upstreamsAt(place)) {
+            if (target->leavingSince && target->lastStart && *target->lastStart > *target->leavingSince + after)
+                return fail(target->object.name.value(), "began a request after that");
+        }
+        return {};
+    }
+
+    outcome expectCustomer()
+    {
+        const auto& w = m_words;
+        const auto& tally = m_fleet->tallyOf(w[2]);
+        const double sent = std::max(1, tally.sent);
+        if (w[3] == "answered" && tally.answered / sent < std::stod(w[5])) {
+            std::string detail = "was answered " + std::to_string(tally.answered) + " of " + std::to_string(tally.sent)
+                + ", broken " + std::to_string(tally.broken);
+            for (const auto& [reason, count] : tally.reasons)
+                detail += ", refused " + std::to_string(count) + " (" + reason + ")";
+            return fail(w[2], detail);
+        }
+        if (w[3] == "refused" && tally.refused / sent > std::stod(w[5]))
+            return fail(w[2], "was refused " + std::to_string(tally.refused) + " of " + std::to_string(tally.sent));
+        if (w[3] == "p99") {
+            auto sorted = tally.latenciesMs;
+            std::sort(sorted.begin(), sorted.end());
+            const double worst = sorted.empty() ? 0 : sorted[sorted.size() * 99 / 100];
+            if (worst > static_cast<double>(timeOf(w[5]).count()) / 1000)
+                return fail(w[2], "has a 99th percentile of " + std::to_string(worst) + " ms");
+        }
+        return {};
+    }
+
+    std::uint64_t m_seed;
+    std::vector<std::string> m_words;
+    std::unique_ptr<steering_fleet> m_fleet;
+};
+
+const world_registration registration(
+    "steering", [](std::uint64_t seed) { return std::make_unique<steering_world>(seed); });
+
+} // namespace
+
+} // namespace flamingoroute::testing
