Add shares, grants and allocator leases for rates and bursts

Cause: a customer's rate and burst count fleet-wide and no store call may stand on the path of a request. Floors that need no renewal, one pool at a leased allocator, grants of whole tokens with a short life, and a successor that promises to leave the pool alone, so that an outage of the platform doesn't stop it.

--- /dev/null
+++ b/src/flamingoroute/limits/holder_ping.hpp
@@ -0,0 +1,25 @@
+#ifndef FLAMINGOROUTE_LIMITS_HOLDER_PING_HPP
+#define FLAMINGOROUTE_LIMITS_HOLDER_PING_HPP
+
+#include <msgpack.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace flamingoroute {
+
+/// A holder of pools asks its successor to leave them to it, or is answered. One for each pair of instances.
+struct holder_ping {
+    std::uint64_t sequence = 0; ///< of the ping; a promise repeats it
+    std::uint64_t senderIncarnation = 0; ///< of the holder's control process; a promise repeats it
+    bool isPromise = false;
+    std::vector<std::string> customers; ///< whose tables name the receiver as successor; empty in a promise
+
+    bool operator==(const holder_ping&) const = default;
+    MSGPACK_DEFINE(sequence, senderIncarnation, isPromise, customers)
+};
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/limits/internal/grant_stock.cpp
@@ -0,0 +1,112 @@
+#include "flamingoroute/limits/internal/grant_stock.hpp"
+
+#include <algorithm>
+
+namespace flamingoroute {
+
+void grant_stock::changeEpoch(std::uint64_t epoch)
+{
+    if (epoch <= m_epoch)
+        return;
+    m_earlier.insert(m_earlier.end(), m_grants.begin(), m_grants.end());
+    m_grants.clear();
+    m_sent.clear();
+    m_receivedThrough = 0;
+    m_hasUnreported = false;
+    m_epoch = epoch;
+}
+
+bool grant_stock::accept(monotonic_time now, const share_grant& grant)
+{
+    expire(now);
+    if (grant.epoch != m_epoch || grant.receiverIncarnation != m_incarnation || grant.number <= m_receivedThrough)
+        return false;
+    const auto request = std::find_if(m_sent.begin(), m_sent.end(),
+        [&grant](const sent_request& sent) { return sent.sequence == grant.requestSequence; });
+    if (request == m_sent.end())
+        return false;
+    m_receivedThrough = grant.number;
+    m_grants.push_back({ grant.number, grant.tokens, grant.tokens, request->sentAt });
+    m_hasUnreported = true;
+    return true;
+}
+
+void grant_stock::expire(monotonic_time now)
+{
+    const auto isVoid = [this, now](const drawn_grant& grant) {
+        return grant.left <= 0 || grant.requestedAt + m_settings.grantLife <= now;
+    };
+    // Grants are settled in order of number, so one that is void waits for those before it.
+    for (auto& grant : m_grants) {
+        if (isVoid(grant))
+            grant.left = 0;
+    }
+    while (!m_grants.empty() && m_grants.front().left == 0) {
+        m_grants.pop_front();
+        m_hasUnreported = true;
+    }
+    std::erase_if(m_earlier, isVoid);
+    while (!m_sent.empty() && m_sent.front().sentAt + m_settings.grantLife <= now)
+        m_sent.pop_front();
+}
+
+bool grant_stock::tryTake(monotonic_time now)
+{
+    expire(now);
+    for (auto* grants : { &m_earlier, &m_grants }) {
+        for (auto& grant : *grants) {
+            if (grant.left > 0) {
+                --grant.left;
+                m_hasUnreported = true;
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+int grant_stock::available(monotonic_time now)
+{
+    expire(now);
+    int sum = 0;
+    for (const auto& grant : m_earlier)
+        sum += grant.left;
+    for (const auto& grant : m_grants)
+        sum += grant.left;
+    return sum;
+}
+
+void grant_stock::giveBackOldest(monotonic_time now, share_request& request)
+{
+    if (m_grants.empty() || m_grants.front().requestedAt + m_settings.grantLife / 2 > now)
+        return;
+    request.returnedGrant = m_grants.front().number;
+    request.returnedTokens = m_grants.front().left;
+    m_grants.pop_front();
+}
+
+share_request grant_stock::makeRequest(monotonic_time now, int waiting, int ahead)
+{
+    expire(now);
+    share_request request;
+    request.epoch = m_epoch;
+    request.senderIncarnation = m_incarnation;
+    request.sequence = ++m_sequence;
+    request.waiting = waiting;
+    request.ahead = ahead;
+    request.receivedThrough = m_receivedThrough;
+    if (waiting == 0)
+        giveBackOldest(now, request);
+    while (!m_grants.empty() && m_grants.front().left == 0)
+        m_grants.pop_front();
+    request.settledThrough = m_grants.empty() ? m_receivedThrough : m_grants.front().number - 1;
+    if (!m_grants.empty()) {
+        request.nextGrant = m_grants.front().number;
+        request.spentOfNext = m_grants.front().granted - m_grants.front().left;
+    }
+    m_sent.push_back({ request.sequence, now });
+    m_hasUnreported = !m_grants.empty();
+    return request;
+}
+
+} // namespace flamingoroute
--- /dev/null
+++ b/src/flamingoroute/limits/internal/promise_book.hpp
@@ -0,0 +1,75 @@
+#ifndef FLAMINGOROUTE_LIMITS_INTERNAL_PROMISE_BOOK_HPP
+#define FLAMINGOROUTE_LIMITS_INTERNAL_PROMISE_BOOK_HPP
+
+#include "flamingoroute/limits/holder_ping.hpp"
+#include "flamingoroute/model/ids.hpp"
+#include "flamingoroute/model/monotonic_time.hpp"
+
+#include <deque>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace flamingoroute {
+
+/// Pings sent to successors, their promises, and promises given to holders.
+class promise_book {
+public:
+    /// @param selfIncarnation named in pings, so that a promise to an earlier process is void
+    explicit promise_book(incarnation selfIncarnation)
+        : m_incarnation(selfIncarnation)
+    {
+    }
+
+    /// @return a ping for @p successor, noted as sent at @p now
+    holder_ping makePing(monotonic_time now, const instance_id& successor, std::vector<std::string> customers)
+    {
+        auto& sent = m_sent[successor];
+        sent.emplace_back(++m_sequence, now);
+        if (sent.size() > rememberedPings)
+            sent.pop_front();
+        return { m_sequence, m_incarnation, false, std::move(customers) };
+    }
+
+    /// Notes a promise. It counts from when the ping was sent.
+    void onPromise(const instance_id& from, const holder_ping& promise)
+    {
+        if (promise.senderIncarnation != m_incarnation)
+            return;
+        for (const auto& [sequence, sentAt] : m_sent[from]) {
+            if (sequence == promise.sequence)
+                m_promised[from] = std::max(m_promised[from], sentAt);
+        }
+    }
+
+    /// @return when the newest ping that @p successor answered was sent; the epoch of the clock if none
+    monotonic_time promisedSince(const instance_id& successor) const
+    {
+        const auto found = m_promised.find(successor);
+        return found == m_promised.end() ? monotonic_time {} : found->second;
+    }
+
+    /// Notes a promise given to @p holder.
+    void noteGiven(monotonic_time now, const instance_id& holder) { m_given[holder] = now; }
+
+    /// @return when a promise was last given to @p holder
+    monotonic_time givenAt(const instance_id& holder) const
+    {
+        const auto found = m_given.find(holder);
+        return found == m_given.end() ? monotonic_time {} : found->second;
+    }
+
+private:
+    static constexpr std::size_t rememberedPings = 8;
+
+    incarnation m_incarnation = 0;
+    std::uint64_t m_sequence = 0;
+    std::map<instance_id, std::deque<std::pair<std::uint64_t, monotonic_time>>> m_sent;
+    std::map<instance_id, monotonic_time> m_promised;
+    std::map<instance_id, monotonic_time> m_given;
+};
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/limits/share_grant.hpp
@@ -0,0 +1,26 @@
+#ifndef FLAMINGOROUTE_LIMITS_SHARE_GRANT_HPP
+#define FLAMINGOROUTE_LIMITS_SHARE_GRANT_HPP
+
+#include <msgpack.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace flamingoroute {
+
+/// Whole tokens that have left a customer's pool. Void when the request that it answers is older than the grant life.
+struct share_grant {
+    std::string customer;
+    std::uint64_t epoch = 0; ///< of the pool's lease
+    std::uint64_t receiverIncarnation = 0; ///< void for any other incarnation
+    std::uint64_t requestSequence = 0; ///< the request that it answers
+    std::uint64_t number = 0; ///< grows with each grant to this receiver under this epoch
+    int tokens = 0;
+
+    bool operator==(const share_grant&) const = default;
+    MSGPACK_DEFINE(customer, epoch, receiverIncarnation, requestSequence, number, tokens)
+};
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/limits/share_machine.cpp
@@ -0,0 +1,256 @@
+#include "flamingoroute/limits/share_machine.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace flamingoroute {
+
+namespace {
+
+constexpr milliseconds fastDemandWindow { 200 };
+constexpr milliseconds slowDemandWindow { 5000 };
+constexpr std::size_t rememberedReports = 8;
+constexpr milliseconds shortestRetryAfter { 100 };
+constexpr milliseconds longestRetryAfter { 10000 };
+
+} // namespace
+
+share_machine::share_machine(customer_id customer, instance_id self, incarnation selfIncarnation,
+    const limit_settings& settings, monotonic_time now)
+    : m_customer(std::move(customer))
+    , m_self(std::move(self))
+    , m_incarnation(selfIncarnation)
+    , m_settings(settings)
+    , m_stock(settings, selfIncarnation, now)
+    , m_pool(settings)
+    , m_demand(fastDemandWindow)
+    , m_slowDemand(slowDemandWindow)
+    , m_reportSequence(static_cast<std::uint64_t>(now.time_since_epoch().count()))
+    , m_lastAsk(now)
+{
+    m_floor.restart(now);
+}
+
+admission share_machine::ask(monotonic_time now, std::uint64_t request, monotonic_time deadline)
+{
+    m_lastAsk = now;
+    m_demand.note(now);
+    m_slowDemand.note(now);
+    if (m_waiting.empty() && tryTakeToken(now))
+        return admission::admitted;
+    if (m_waiting.size() >= m_settings.maxWaiting || deadline <= now)
+        return admission::refused;
+    m_waiting.push_back({ request, std::min(deadline, now + m_settings.maxWait) });
+    draw(now);
+    if (m_poolInstance.empty() && !m_pool.isKnown())
+        report(now);
+    return admission::waiting;
+}
+
+bool share_machine::tryTakeFloor(monotonic_time now, int keep)
+{
+    if (!isFloorValid(now))
+        return false;
+    m_floor.advance(now);
+    return m_floor.level() >= keep + 1 && m_floor.tryTake(1);
+}
+
+bool share_machine::tryTakeToken(monotonic_time now)
+{
+    // A full floor mints nothing more, so it is spent first; otherwise what expires goes first.
+    if (tryTakeFloor(now, std::max(0, m_floor.currentShare().depth - 1)))
+        return true;
+    if (m_stock.tryTake(now) || m_pool.tryTakeLocal(now))
+        return true;
+    return tryTakeFloor(now, 0);
+}
+
+void share_machine::serveWaiting(monotonic_time now)
+{
+    while (!m_waiting.empty()) {
+        const auto first = m_waiting.front();
+        const bool isLate = first.until <= now;
+        if (!isLate && !tryTakeToken(now))
+            return;
+        m_waiting.pop_front();
+        m_decisions.push_back({ first.id, !isLate });
+    }
+}
+
+void share_machine::servePool(monotonic_time now)
+{
+    int localTokens = 0;
+    for (auto& [to, grant] : m_pool.distribute(now, static_cast<int>(m_waiting.size()), localTokens))
+        send(to, process_role::entry, std::move(grant));
+    for (; localTokens > 0; --localTokens) {
+        m_decisions.push_back({ m_waiting.front().id, true });
+        m_waiting.pop_front();
+    }
+}
+
+void share_machine::onGrant(monotonic_time now, const share_grant& grant)
+{
+    if (!m_stock.accept(now, grant))
+        return;
+    m_waitingSince = {};
+    serveWaiting(now);
+}
+
+void share_machine::onRequest(monotonic_time now, const instance_id& from, const share_request& request)
+{
+    m_pool.onRequest(now, from, request);
+    serveWaiting(now);
+    servePool(now);
+}
+
+void share_machine::onLease(monotonic_time now, const pool_lease& lease)
+{
+    if (lease.holderIncarnation != m_incarnation)
+        return;
+    const bool isNew = lease.tableVersion > m_pool.tableVersion();
+    m_pool.follow(now, lease);
+    m_isReportUrgent = m_isReportUrgent || isNew;
+    if (lease.epoch > m_stock.epoch()) {
+        m_stock.changeEpoch(lease.epoch);
+        m_poolInstance = m_self;
+    }
+}
+
+void share_machine::onAssignment(monotonic_time now, const share_assignment& assignment)
+{
+    if (assignment.epoch > m_stock.epoch() || (assignment.epoch == m_stock.epoch() && m_poolInstance.empty())) {
+        m_stock.changeEpoch(assignment.epoch);
+        m_poolInstance = instance_id(assignment.poolInstance);
+        m_waitingSince = {};
+        m_isReportUrgent = assignment.poolInstance != m_self.value();
+        draw(now);
+    }
+    if (assignment.isFromAllocator && assignment.tableVersion >= m_tableVersion)
+        followFloor(now, assignment);
+}
+
+void share_machine::followFloor(monotonic_time now, const share_assignment& assignment)
+{
+    const bool isMine = assignment.floorIncarnation == m_incarnation;
+    const share target = isMine ? assignment.floor : share {};
+    const auto answered = std::find_if(m_reports.begin(), m_reports.end(),
+        [&](const sent_report& sent) { return sent.sequence == assignment.reportSequence; });
+    const share current = isFloorValid(now) ? m_floor.currentShare() : share {};
+    const bool isLower = target.perSecond <= current.perSecond && target.depth <= current.depth;
+    // Only an answer to a report of this machine may raise: an old assignment may speak to a machine long forgotten.
+    if (answered == m_reports.end() && !isLower)
+        return;
+    if (!isFloorValid(now))
+        m_floor.restart(now);
+    m_floor.setShare(now, target);
+    if (answered != m_reports.end())
+        m_floorValidUntil = std::max(m_floorValidUntil, answered->sentAt + m_settings.floorHold);
+    m_isReportUrgent = m_isReportUrgent || assignment.tableVersion > m_tableVersion;
+    m_tableVersion = assignment.tableVersion;
+    serveWaiting(now);
+}
+
+void share_machine::draw(monotonic_time now)
+{
+    if (m_poolInstance.empty() || m_poolInstance == m_self || m_lastDraw + m_settings.requestInterval > now)
+        return;
+    const std::chrono::duration<double> lookahead = m_settings.lookahead;
+    const int expected = static_cast<int>(std::ceil(m_demand.perSecond(now) * lookahead.count() - 0.5));
+    const int floorTokens = isFloorValid(now) ? m_floor.available() : 0;
+    const int waiting = static_cast<int>(m_waiting.size());
+    const int ahead = std::max(0, expected - m_stock.available(now) - floorTokens);
+    const bool isSettleDue = m_stock.hasUnreported() && m_lastDraw + m_settings.settleInterval <= now;
+    if (waiting == 0 && ahead == 0 && !isSettleDue)
+        return;
+    m_lastDraw = now;
+    if (waiting > 0 && m_waitingSince == monotonic_time {})
+        m_waitingSince = now;
+    auto request = m_stock.makeRequest(now, waiting, ahead);
+    request.customer = m_customer.value();
+    send(m_poolInstance, process_role::entry, std::move(request));
+}
+
+void share_machine::report(monotonic_time now)
+{
+    const bool isDue = m_lastReport + m_settings.reportInterval <= now;
+    if (!isDue && !(m_isReportUrgent && m_lastReport + m_settings.requestInterval <= now))
+        return;
+    usage_report usage;
+    usage.customer = m_customer.value();
+    usage.senderIncarnation = m_incarnation;
+    usage.sequence = ++m_reportSequence;
+    usage.tableVersion = m_tableVersion;
+    usage.floor = isFloorValid(now) ? m_floor.currentShare() : share {};
+    if (m_pool.isKnown()) {
+        usage.poolEpoch = m_pool.epoch();
+        usage.poolVersion = m_pool.tableVersion();
+        usage.pool = m_pool.shareInUse(now);
+    }
+    usage.demandPerSecond = m_lastAsk + m_settings.idleAfter < now ? 0 : m_slowDemand.perSecond(now);
+    const bool hasWaitedLong
+        = m_waitingSince != monotonic_time {} && m_waitingSince + m_settings.retryRead <= now;
+    usage.isPoolSilent = hasWaitedLong || (m_poolInstance == m_self && !m_pool.isActive(now));
+    m_reports.push_back({ usage.sequence, now });
+    if (m_reports.size() > rememberedReports)
+        m_reports.pop_front();
+    if (m_poolInstance.empty() || usage.isPoolSilent || m_poolInstance == m_self)
+        send(m_self, process_role::control, usage);
+    if (!m_poolInstance.empty() && m_poolInstance != m_self)
+        send(m_poolInstance, process_role::control, usage);
+    m_lastReport = now;
+    m_isReportUrgent = false;
+}
+
+void share_machine::tick(monotonic_time now)
+{
+    m_floor.advance(now);
+    serveWaiting(now);
+    servePool(now);
+    draw(now);
+    report(now);
+}
+
+void share_machine::send(const instance_id& to, process_role role, decltype(limit_message::body) body)
+{
+    m_messages.push_back({ to, role, std::move(body) });
+}
+
+std::vector<limit_message> share_machine::takeMessages() { return std::exchange(m_messages, {}); }
+
+std::vector<admission_decision> share_machine::takeDecisions() { return std::exchange(m_decisions, {}); }
+
+milliseconds share_machine::retryAfter(monotonic_time now)
+{
+    m_floor.advance(now);
+    const auto own = std::min(m_floor.untilNextToken(), m_pool.untilNextToken());
+    return std::clamp(own, shortestRetryAfter, longestRetryAfter);
+}
+
+bool share_machine::isForgettable(monotonic_time now)
+{
+    const bool hasFloor = isFloorValid(now) && m_floor.currentShare() != share {};
+    return m_lastAsk + m_settings.idleAfter < now && m_waiting.empty() && !hasFloor && !m_pool.isActive(now)
+        && m_stock.available(now) == 0;
+}
+
+share share_machine::shareInUse(monotonic_time now)
+{
+    share sum = isFloorValid(now) ? m_floor.currentShare() : share {};
+    if (m_pool.isActive(now)) {
+        const auto pool = m_pool.shareInUse(now);
+        sum.perSecond += pool.perSecond;
+        sum.depth += pool.depth;
+    }
+    return sum;
+}
+
+usage_report reportWithoutShares(const share_assignment& assignment, incarnation selfIncarnation)
+{
+    usage_report usage;
+    usage.customer = assignment.customer;
+    usage.senderIncarnation = selfIncarnation;
+    usage.tableVersion = assignment.tableVersion;
+    return usage;
+}
+
+} // namespace flamingoroute
--- /dev/null
+++ b/src/flamingoroute/limits/share_machine.hpp
@@ -0,0 +1,117 @@
+#ifndef FLAMINGOROUTE_LIMITS_SHARE_MACHINE_HPP
+#define FLAMINGOROUTE_LIMITS_SHARE_MACHINE_HPP
+
+#include "flamingoroute/limits/admission.hpp"
+#include "flamingoroute/limits/admission_decision.hpp"
+#include "flamingoroute/limits/demand_meter.hpp"
+#include "flamingoroute/limits/internal/grant_pool.hpp"
+#include "flamingoroute/limits/internal/grant_stock.hpp"
+#include "flamingoroute/limits/limit_message.hpp"
+#include "flamingoroute/limits/limit_settings.hpp"
+#include "flamingoroute/limits/token_bucket.hpp"
+#include "flamingoroute/model/ids.hpp"
+
+#include <deque>
+#include <vector>
+
+namespace flamingoroute {
+
+/// What one instance does about the rate and burst of one customer: its floor, the grants that it has drawn, the
+/// pool if it keeps it, and the requests that wait. Pure: each event comes with the time; messages and decisions are
+/// collected by the caller. Over any time t, all share machines of a customer together admit at most
+/// rate x t + burst requests.
+class share_machine {
+public:
+    /// @param customer whose requests are counted
+    /// @param self this instance
+    /// @param selfIncarnation of the process that admits requests
+    /// @param now starts the numbers of usage reports, which must not repeat when a machine is made anew
+    share_machine(customer_id customer, instance_id self, incarnation selfIncarnation, const limit_settings& settings,
+        monotonic_time now);
+
+    /// Asks for a token for a request.
+    /// @param request names the request in a later decision
+    /// @param deadline it is refused if it has none by then
+    admission ask(monotonic_time now, std::uint64_t request, monotonic_time deadline);
+
+    /// A pool's grant to this instance.
+    void onGrant(monotonic_time now, const share_grant& grant);
+
+    /// Another instance's request to the pool here.
+    void onRequest(monotonic_time now, const instance_id& from, const share_request& request);
+
+    /// This instance's part of the table.
+    void onAssignment(monotonic_time now, const share_assignment& assignment);
+
+    /// The control process of this machine lets the pool be kept here.
+    void onLease(monotonic_time now, const pool_lease& lease);
+
+    /// Serves and refuses those that wait, draws tokens, reports. To be called every few milliseconds.
+    void tick(monotonic_time now);
+
+    /// @return messages to be sent, in order
+    std::vector<limit_message> takeMessages();
+
+    /// @return requests whose wait has ended
+    std::vector<admission_decision> takeDecisions();
+
+    /// @return when a refused caller should try again
+    milliseconds retryAfter(monotonic_time now);
+
+    /// @return true if the customer has had no traffic here and nothing is left that others count on
+    bool isForgettable(monotonic_time now);
+
+    /// @return rate and depth that this instance may use now, floor and pool together
+    share shareInUse(monotonic_time now);
+
+private:
+    struct waiting_request {
+        std::uint64_t id = 0;
+        monotonic_time until;
+    };
+    struct sent_report {
+        std::uint64_t sequence = 0;
+        monotonic_time sentAt;
+    };
+
+    bool isPoolHere(monotonic_time now) const { return m_pool.isActive(now); }
+    bool isFloorValid(monotonic_time now) const { return now < m_floorValidUntil; }
+    bool tryTakeFloor(monotonic_time now, int keep);
+    bool tryTakeToken(monotonic_time now);
+    void serveWaiting(monotonic_time now);
+    void servePool(monotonic_time now);
+    void draw(monotonic_time now);
+    void report(monotonic_time now);
+    void send(const instance_id& to, process_role role, decltype(limit_message::body) body);
+    void followFloor(monotonic_time now, const share_assignment& assignment);
+
+    const customer_id m_customer;
+    const instance_id m_self;
+    const incarnation m_incarnation;
+    const limit_settings m_settings;
+    token_bucket m_floor;
+    monotonic_time m_floorValidUntil;
+    std::uint64_t m_tableVersion = 0;
+    instance_id m_poolInstance;
+    grant_stock m_stock;
+    grant_pool m_pool;
+    demand_meter m_demand;
+    demand_meter m_slowDemand;
+    std::deque<waiting_request> m_waiting;
+    std::deque<sent_report> m_reports;
+    std::uint64_t m_reportSequence = 0;
+    monotonic_time m_lastAsk;
+    monotonic_time m_lastDraw;
+    monotonic_time m_lastReport;
+    monotonic_time m_waitingSince; ///< first request for tokens that the pool has not answered
+    bool m_isReportUrgent = true;
+    std::vector<limit_message> m_messages;
+    std::vector<admission_decision> m_decisions;
+};
+
+/// What an instance without a share machine for the customer answers to an unasked assignment: it uses nothing.
+usage_report reportWithoutShares(const share_assignment& assignment, incarnation selfIncarnation);
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/limits/store_answer.hpp
@@ -0,0 +1,30 @@
+#ifndef FLAMINGOROUTE_LIMITS_STORE_ANSWER_HPP
+#define FLAMINGOROUTE_LIMITS_STORE_ANSWER_HPP
+
+#include "flamingoroute/limits/allocation_table.hpp"
+#include "flamingoroute/store/stored_object.hpp"
+
+#include <optional>
+
+namespace flamingoroute {
+
+enum class store_outcome {
+    done, ///< read or written
+    absent, ///< read, and there is none
+    conflict, ///< not written; the object has changed
+    failed, ///< not read, or not known to be written
+};
+
+/// What came of a store_call.
+struct store_answer {
+    customer_id customer;
+    store_outcome outcome = store_outcome::failed;
+    std::optional<allocation_table> table; ///< as read
+    object_version version = 0; ///< of the object read or written
+
+    bool operator==(const store_answer&) const = default;
+};
+
+} // namespace flamingoroute
+
+#endif
