--- a/src/flamingoroute/limits/allocation_plan.cpp
+++ b/src/flamingoroute/limits/allocation_plan.cpp
@@ -172,7 +172,8 @@
         return;
     const share grown { std::min(goal.perSecond, pool.reserved.perSecond + std::max(0.0, room.perSecond)),
         std::min(goal.depth, pool.reserved.depth + room.depth) };
-    const bool isWorthWriting = grown.depth > pool.target.depth || grown.perSecond > pool.target.perSecond * poolRaiseThreshold;
+    const bool isWorthWriting
+        = grown.depth > pool.target.depth || grown.perSecond > pool.target.perSecond * poolRaiseThreshold;
     if (isWorthWriting)
         setTarget(pool, maximum(grown, pool.target), table.version);
 }
--- a/src/flamingoroute/limits/allocator.cpp
+++ b/src/flamingoroute/limits/allocator.cpp
@@ -55,12 +55,12 @@
     return m_ownEntryIncarnation != 0 && m_ownEntryHeard + m_settings.promiseHold > now;
 }
 
-monotonic_time allocator::promisedUntil(const instance_id& successor, monotonic_time writeBegan) const
+monotonic_time allocator::promisedUntil(const allocation_table& table, monotonic_time writeBegan) const
 {
     // Without a successor anyone may name itself one, so only a recent write gives the right.
-    if (successor.empty())
+    if (table.successor.empty())
         return writeBegan + m_settings.promiseHold;
-    return std::max(writeBegan, m_promises.promisedSince(successor)) + m_settings.promiseHold;
+    return std::max(writeBegan, m_promises.promisedSince(table.successor, table.customer)) + m_settings.promiseHold;
 }
 
 monotonic_time allocator::rightUntil(const customer_allocation& state) const
@@ -68,10 +68,12 @@
     if (!isHolder(state) || state.writtenAt == never)
         return never;
     auto until = state.writtenAt + m_settings.abandonedHold;
-    until = std::min(until, promisedUntil(state.table->successor, state.writtenAt));
-    // A write that may have taken effect may have named another successor.
+    until = std::min(until, promisedUntil(*state.table, state.writtenAt));
+    // A write that may have taken effect may have given the pool away, or named another successor.
+    if (state.writing && state.writing->epoch != state.table->epoch)
+        return never;
     if (state.writing)
-        until = std::min(until, promisedUntil(state.writing->successor, state.callBegan));
+        until = std::min(until, promisedUntil(*state.writing, state.callBegan));
     return until;
 }
 
@@ -158,24 +160,23 @@
         m_promises.onPromise(from, ping);
         return;
     }
+    holder_ping promise = ping;
+    promise.isPromise = true;
+    promise.customers.clear();
     for (const auto& name : ping.customers) {
         const customer_id customer(name);
         auto& state = m_customers[customer];
         state.customer = customer;
-        if (!state.table || state.table->pool.instance != from || state.table->successor != m_self)
+        const bool isFromHolder = state.table && state.table->pool.instance == from;
+        if (!isFromHolder || state.table->successor != m_self || ping.sequence == 0)
             state.isReadWanted = true;
+        // Only who knows the table can say that it has not taken it; a take-over under way may still take effect.
+        if (isFromHolder && !state.writing)
+            promise.customers.push_back(name);
     }
-    // A take-over under way may still take effect, so it rules out a new promise.
-    const bool isTakingOver = std::any_of(m_customers.begin(), m_customers.end(), [&](const auto& entry) {
-        const auto& state = entry.second;
-        return state.writing && state.table && state.table->pool.instance == from;
-    });
-    if (isTakingOver)
+    if (ping.sequence == 0 || promise.customers.empty())
         return;
     m_promises.noteGiven(now, from);
-    holder_ping promise = ping;
-    promise.isPromise = true;
-    promise.customers.clear();
     m_messages.push_back({ from, process_role::control, promise });
 }
 
@@ -213,8 +214,8 @@
         const bool isSuspect = suspected != m_suspectedUntil.end() && suspected->second > now;
         if (known.instance == m_self || isSuspect)
             continue;
-        const std::pair rank(known.failureDomain != ownDomain,
-            std::hash<std::string> {}(m_self.value() + "/" + known.instance.value()));
+        const std::pair rank(
+            known.failureDomain != ownDomain, std::hash<std::string> {}(m_self.value() + "/" + known.instance.value()));
         if (best.empty() || rank > bestRank) {
             best = known.instance;
             bestRank = rank;
@@ -267,8 +268,8 @@
 
 bool allocator::isChallengeable(monotonic_time now, const customer_allocation& state) const
 {
-    return state.isPoolSilent && state.table->successor.empty() && isOwnEntryAlive(now)
-        && now >= state.nextChallenge && state.heardOwnAt + m_settings.promiseHold > now;
+    return state.isPoolSilent && state.table->successor.empty() && isOwnEntryAlive(now) && now >= state.nextChallenge
+        && state.heardOwnAt + m_settings.promiseHold > now;
 }
 
 void allocator::challenge(monotonic_time now, customer_allocation& state)
@@ -348,7 +349,7 @@
         handOver(now, state, instance_id {});
         return true;
     }
-    const auto promised = m_promises.promisedSince(table.successor);
+    const auto promised = m_promises.promisedSince(table.successor, table.customer);
     const bool isChallenged = state.writtenAt == never && !table.successor.empty() && promised < state.seenSince;
     if (isChallenged && now < state.seenSince + suspicion)
         return true;
@@ -435,13 +436,14 @@
 {
     const auto until = rightUntil(state);
     const auto& pool = state.table->pool;
-    if (now < state.nextLease || until <= now || !isOwnEntryAlive(now) || isIdle(now, state)
+    if (now < state.rightFrom || now < state.nextLease || until <= now || !isOwnEntryAlive(now) || isIdle(now, state)
         || pool.holderIncarnation != m_ownEntryIncarnation)
         return;
     state.nextLease = now + leaseInterval;
-    state.leasedUntil = std::max(state.leasedUntil, std::min(until, now + m_settings.promiseHold));
+    const auto validUntil = std::min(until, now + m_settings.promiseHold);
+    state.leasedUntil = std::max(state.leasedUntil, validUntil);
     pool_lease lease { state.customer.value(), state.table->epoch, state.table->version, pool.holderIncarnation,
-        pool.target, state.leasedUntil.time_since_epoch().count() };
+        pool.target, validUntil.time_since_epoch().count() };
     m_messages.push_back({ m_self, process_role::entry, lease });
 }
 
@@ -493,8 +495,8 @@
         return;
     }
     const bool wasHolder = isHolder(state);
-    const bool isOwnWrite = state.writing && state.writing->writer == table.writer
-        && state.writing->writeNumber == table.writeNumber;
+    const bool isOwnWrite
+        = state.writing && state.writing->writer == table.writer && state.writing->writeNumber == table.writeNumber;
     const bool isNewEpoch = !state.table || state.table->epoch != table.epoch;
     state.table = table;
     state.storedVersion = version;
@@ -510,6 +512,9 @@
         state.heldSince = now;
         // An earlier control process here may have let the pool run until then.
         state.leasedUntil = now + m_settings.promiseHold;
+        // A late write of such a process may have taken the table from a holder with a promise of this one.
+        if (!isOwnWrite)
+            state.rightFrom = m_promises.lastGiven() + m_settings.promiseHold + m_settings.clockDrift;
         state.reporters.clear();
         state.planUntil = now + firstPlanDelay - m_settings.resplitInterval;
     }
@@ -517,6 +522,11 @@
         state.confirmedPoolVersion = 0;
     state.nextLease = never;
     announce(now, state);
+    const auto& holder = table.pool.instance;
+    if (wasHolder && isOwnWrite && !holder.empty() && holder != m_self) {
+        m_messages.push_back(
+            { holder, process_role::control, holder_ping { 0, m_incarnation, false, { state.customer.value() } } });
+    }
 }
 
 void allocator::onStoreAnswer(monotonic_time now, const store_answer& answer)
--- a/src/flamingoroute/limits/allocator.hpp
+++ b/src/flamingoroute/limits/allocator.hpp
@@ -62,7 +62,8 @@
     using customer_map = std::map<customer_id, customer_allocation>;
 
     void onOwnReport(monotonic_time now, customer_allocation& state, const usage_report& usage);
-    void noteReporter(monotonic_time now, customer_allocation& state, const instance_id& from, const usage_report& usage);
+    void noteReporter(
+        monotonic_time now, customer_allocation& state, const instance_id& from, const usage_report& usage);
     void assign(monotonic_time now, const customer_allocation& state, const instance_id& to, std::uint64_t report);
     void adopt(monotonic_time now, customer_allocation& state, const allocation_table& table, object_version version);
     void announce(monotonic_time now, const customer_allocation& state);
@@ -86,7 +87,7 @@
     bool isOwnEntryAlive(monotonic_time now) const;
     bool isIdle(monotonic_time now, const customer_allocation& state) const;
     monotonic_time rightUntil(const customer_allocation& state) const;
-    monotonic_time promisedUntil(const instance_id& successor, monotonic_time writeBegan) const;
+    monotonic_time promisedUntil(const allocation_table& table, monotonic_time writeBegan) const;
     plan_input planInput(monotonic_time now, const customer_allocation& state) const;
     instance_id chooseSuccessor(monotonic_time now) const;
     void ping(monotonic_time now);
--- a/src/flamingoroute/limits/internal/customer_allocation.hpp
+++ b/src/flamingoroute/limits/internal/customer_allocation.hpp
@@ -41,6 +41,7 @@
     std::uint64_t confirmedPoolVersion = 0;
     std::uint64_t confirmedPoolEpoch = 0;
     share poolInUse;
+    monotonic_time rightFrom; ///< the pool must not run before then
     monotonic_time nextLease;
     monotonic_time leasedUntil; ///< the entry process may keep the pool until then
     monotonic_time nextPlan;
--- a/src/flamingoroute/limits/internal/grant_pool.hpp
+++ b/src/flamingoroute/limits/internal/grant_pool.hpp
@@ -36,8 +36,7 @@
     /// Gives out what requesters need, as far as there is.
     /// @param localWaiting requests that wait at this instance; they get a share like the others
     /// @param localTokens receives the tokens for them, taken from the pool
-    std::vector<std::pair<instance_id, share_grant>> distribute(
-        monotonic_time now, int localWaiting, int& localTokens);
+    std::vector<std::pair<instance_id, share_grant>> distribute(monotonic_time now, int localWaiting, int& localTokens);
 
     bool isActive(monotonic_time now) const { return now < m_validUntil; }
     bool isKnown() const { return m_epoch != 0; }
--- a/src/flamingoroute/limits/internal/promise_book.hpp
+++ b/src/flamingoroute/limits/internal/promise_book.hpp
@@ -38,20 +38,27 @@
         if (promise.senderIncarnation != m_incarnation)
             return;
         for (const auto& [sequence, sentAt] : m_sent[from]) {
-            if (sequence == promise.sequence)
-                m_promised[from] = std::max(m_promised[from], sentAt);
+            if (sequence != promise.sequence)
+                continue;
+            for (const auto& customer : promise.customers) {
+                auto& since = m_promised[{ from, customer }];
+                since = std::max(since, sentAt);
+            }
         }
     }
 
-    /// @return when the newest ping that @p successor answered was sent; the epoch of the clock if none
-    monotonic_time promisedSince(const instance_id& successor) const
+    /// @return when the newest ping was sent that @p successor answered for @p customer; the epoch of the clock if none
+    monotonic_time promisedSince(const instance_id& successor, const customer_id& customer) const
     {
-        const auto found = m_promised.find(successor);
+        const auto found = m_promised.find({ successor, customer.value() });
         return found == m_promised.end() ? monotonic_time {} : found->second;
     }
 
     /// Notes a promise given to @p holder.
-    void noteGiven(monotonic_time now, const instance_id& holder) { m_given[holder] = now; }
+    void noteGiven(monotonic_time now, const instance_id& holder) { m_given[holder] = m_lastGiven = now; }
+
+    /// @return when a promise was last given to anyone
+    monotonic_time lastGiven() const { return m_lastGiven; }
 
     /// @return when a promise was last given to @p holder
     monotonic_time givenAt(const instance_id& holder) const
@@ -66,8 +73,9 @@
     incarnation m_incarnation = 0;
     std::uint64_t m_sequence = 0;
     std::map<instance_id, std::deque<std::pair<std::uint64_t, monotonic_time>>> m_sent;
-    std::map<instance_id, monotonic_time> m_promised;
+    std::map<std::pair<instance_id, std::string>, monotonic_time> m_promised;
     std::map<instance_id, monotonic_time> m_given;
+    monotonic_time m_lastGiven;
 };
 
 } // namespace flamingoroute
--- a/src/flamingoroute/limits/share_machine.cpp
+++ b/src/flamingoroute/limits/share_machine.cpp
@@ -187,8 +187,7 @@
         usage.pool = m_pool.shareInUse(now);
     }
     usage.demandPerSecond = m_lastAsk + m_settings.idleAfter < now ? 0 : m_slowDemand.perSecond(now);
-    const bool hasWaitedLong
-        = m_waitingSince != monotonic_time {} && m_waitingSince + m_settings.retryRead <= now;
+    const bool hasWaitedLong = m_waitingSince != monotonic_time {} && m_waitingSince + m_settings.retryRead <= now;
     usage.isPoolSilent = hasWaitedLong || (m_poolInstance == m_self && !m_pool.isActive(now));
     m_reports.push_back({ usage.sequence, now });
     if (m_reports.size() > rememberedReports)
