Spread configurations and members in both processes, and flood withdrawals

Both processes run the membership and a configuration replica; the control process also watches the platform if it is one of its domain's two watchers by rendezvous hashing. An entry takes no call to the platform. A publication's withdrawn keys go to all entries at once. The entry's readiness now means that no higher revision is known from whoever was reached. The stubs that polled the platform are gone.

--- /dev/null
+++ b/src/flamingoroute/config/watch_step.hpp
@@ -0,0 +1,16 @@
+#ifndef FLAMINGOROUTE_CONFIG_WATCH_STEP_HPP
+#define FLAMINGOROUTE_CONFIG_WATCH_STEP_HPP
+
+namespace flamingoroute {
+
+/// The next call of the platform.
+enum class watch_step {
+    wait,
+    watch_head,
+    read_head,
+    read_instances,
+};
+
+} // namespace flamingoroute
+
+#endif
--- a/src/flamingoroute/peers/membership.cpp
+++ b/src/flamingoroute/peers/membership.cpp
@@ -32,8 +32,11 @@
 void membership::addSeeds(const std::vector<member>& seeds)
 {
     for (const auto& seed : seeds) {
-        if (seed.instance != m_self.instance)
-            m_members[seed.instance].where = seed;
+        if (seed.instance == m_self.instance)
+            continue;
+        auto& known = m_members[seed.instance];
+        known.where = seed;
+        known.isSeed = true;
     }
 }
 
@@ -95,7 +98,7 @@
     const bool isNew = m_members.count(where->instance) == 0;
     auto& known = m_members[where->instance];
     const bool isNewer = record.entryIncarnation > known.entryIncarnation;
-    if (isNew || isNewer)
+    if (!known.isSeed && (isNew || isNewer))
         known.where = *where;
     const bool isDirectlyHeard = known.entryHeard && isDirect(known);
     if (isFromItself || record.entryIncarnation < known.entryIncarnation || (isDirectlyHeard && !isNewer))
--- a/src/flamingoroute/peers/membership.hpp
+++ b/src/flamingoroute/peers/membership.hpp
@@ -36,6 +36,7 @@
 
     membership(member self, process_role role, incarnation own, membership_settings settings, random_pick pick);
 
+    /// @param seeds members by the settings; their addresses stay as given, whatever others pass on
     void addSeeds(const std::vector<member>& seeds);
 
     /// What this process tells in its heartbeats.
@@ -73,6 +74,7 @@
         revision entryRevision = 0;
         bool isLeaving = false;
         bool isGone = false;
+        bool isSeed = false;
         std::optional<monotonic_time> unlistedSince;
     };
 
--- a/src/flamingoroute/runtime/config_duty.cpp
+++ b/src/flamingoroute/runtime/config_duty.cpp
@@ -146,13 +146,12 @@
 
 void config_duty::perform(const adopt_configuration& action)
 {
-    {
-        const std::lock_guard lock(m_publishedMutex);
-        m_published = action.objects;
-        m_position = action.position;
-    }
+    // The position is what heartbeats confirm, so it follows the hook that puts the configuration in force.
     if (m_hooks.onAdopted)
         m_hooks.onAdopted(action.objects, action.position);
+    const std::lock_guard lock(m_publishedMutex);
+    m_published = action.objects;
+    m_position = action.position;
 }
 
 void config_duty::perform(const report_fault& action)
--- /dev/null
+++ b/src/flamingoroute/runtime/config_spread.hpp
@@ -0,0 +1,69 @@
+#ifndef FLAMINGOROUTE_RUNTIME_CONFIG_SPREAD_HPP
+#define FLAMINGOROUTE_RUNTIME_CONFIG_SPREAD_HPP
+
+#include "flamingoroute/model/member.hpp"
+#include "flamingoroute/runtime/config_duty.hpp"
+#include "flamingoroute/runtime/config_spread_hooks.hpp"
+#include "flamingoroute/runtime/membership_duty.hpp"
+#include "flamingoroute/runtime/watch_duty.hpp"
+
+#include <memory>
+#include <vector>
+
+namespace flamingoroute {
+
+class member_directory;
+class object_store;
+class peer_bus;
+
+/// The duties that bring a process its configuration and its members: membership, the configuration replica and, in a
+/// process that is given a store, the watch. Keeps the directory of members up to date.
+class config_spread {
+public:
+    /// @param directory where members are entered; must outlive this, like @p bus
+    /// @param store the platform, or null for a process that hears of the configuration from others only
+    config_spread(const member& self, process_role role, incarnation own, const std::vector<member>& seeds,
+        member_directory& directory, peer_bus& bus, object_store* store, config_spread_hooks hooks);
+    ~config_spread();
+
+    /// To be called before the bus listens.
+    void registerWith(message_router& router);
+
+    void start();
+    void stop();
+
+    configuration_ptr current() const { return m_config.current(); }
+    config_position position() const { return m_config.position(); }
+
+    /// @return the position last read from the platform by this process; lower than position() after a restore
+    config_position storePosition() const { return m_config.storePosition(); }
+
+    bool isReady() const { return m_config.isReady(); }
+    std::vector<member_status> members() const { return m_members.members(); }
+
+    /// Sends to a process of an instance; drops the message if the instance is not known.
+    void send(const instance_id& to, process_role role, message_kind kind, std::string body) const;
+
+private:
+    config_duty_hooks configHooks();
+    membership_duty_hooks membershipHooks();
+    watch_duty_hooks watchHooks();
+    void onMembers(const std::vector<member_status>& members, const std::vector<instance_id>& remoteBridges);
+    replica_peers peersOf(
+        const std::vector<member_status>& members, const std::vector<instance_id>& remoteBridges) const;
+    bool isWatcher(const std::vector<member_status>& members) const;
+    std::optional<monotonic_time> platformSeen() const;
+
+    member m_self;
+    process_role m_role;
+    member_directory& m_directory;
+    peer_bus& m_bus;
+    config_spread_hooks m_hooks;
+    config_duty m_config;
+    membership_duty m_members;
+    std::unique_ptr<watch_duty> m_watch;
+};
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/runtime/config_spread_hooks.hpp
@@ -0,0 +1,23 @@
+#ifndef FLAMINGOROUTE_RUNTIME_CONFIG_SPREAD_HOOKS_HPP
+#define FLAMINGOROUTE_RUNTIME_CONFIG_SPREAD_HOOKS_HPP
+
+#include "flamingoroute/model/configuration.hpp"
+#include "flamingoroute/model/monotonic_time.hpp"
+#include "flamingoroute/peers/member_status.hpp"
+
+#include <functional>
+#include <vector>
+
+namespace flamingoroute {
+
+/// What a process does with configurations and members. Called on the duties' threads; none may block.
+struct config_spread_hooks {
+    std::function<void(const configuration_ptr&)> onAdopted;
+    std::function<void(const std::vector<member_status>&)> onMembers; ///< may be empty
+    std::function<void(monotonic_time)> onPlatformSeen; ///< may be empty
+    std::function<bool()> isLeaving;
+};
+
+} // namespace flamingoroute
+
+#endif
--- a/src/flamingoroute/runtime/control_node.cpp
+++ b/src/flamingoroute/runtime/control_node.cpp
@@ -6,19 +6,20 @@
 #include "flamingoroute/admin/commands/move_commands.hpp"
 #include "flamingoroute/admin/queries/configuration_queries.hpp"
 #include "flamingoroute/config/config_publisher.hpp"
+#include "flamingoroute/keys/key_hasher.hpp"
+#include "flamingoroute/keys/key_secret.hpp"
+#include "flamingoroute/keys/withdrawals.hpp"
+#include "flamingoroute/peers/incarnation_filter.hpp"
+#include "flamingoroute/peers/message_body.hpp"
 #include "flamingoroute/peers/peer_bus.hpp"
 #include "flamingoroute/report/event_log.hpp"
-#include "flamingoroute/runtime/config_poll.hpp"
-#include "flamingoroute/runtime/configuration_holder.hpp"
+#include "flamingoroute/runtime/config_spread.hpp"
 #include "flamingoroute/runtime/incarnation_clock.hpp"
-#include "flamingoroute/runtime/key_table.hpp"
 #include "flamingoroute/runtime/member_directory.hpp"
 #include "flamingoroute/runtime/message_router.hpp"
 #include "flamingoroute/settings/json_document.hpp"
 #include "flamingoroute/store/http_object_store.hpp"
 
-#include <Poco/UUIDGenerator.h>
-
 #include <mutex>
 
 namespace flamingoroute {
@@ -52,40 +53,63 @@
 
     configuration_access access();
     key_hooks keys(const std::string& pepper) const;
+    void floodWithdrawals(const configuration_ptr& before, const configuration& after, revision number) const;
 
     instance_settings settings;
     incarnation own;
     member_directory directory;
     message_router router;
     peer_bus bus;
-    configuration_holder holder;
+    incarnation_filter filter; ///< for the bus's thread only
     http_object_store store;
     std::mutex publisherMutex;
     config_publisher publisher;
-    std::unique_ptr<config_poll> config;
+    std::unique_ptr<config_spread> config;
     std::unique_ptr<admin_server> admin;
 };
 
 configuration_access control_node::parts::access()
 {
     configuration_access result;
-    result.current = [this] { return holder.get(); };
+    result.current = [this] { return config->current(); };
     result.publish = [this](const configuration& objects, std::optional<revision> expected) {
         const std::lock_guard lock(publisherMutex);
-        return publisher.publish(objects, expected);
+        const auto before = config->current();
+        const auto done = publisher.publish(objects, expected, config->position().number);
+        if (done)
+            floodWithdrawals(before, objects, *done);
+        return done;
     };
     result.edit = [this](const std::vector<configuration_edit>& edits, std::optional<revision> expected) {
         const std::lock_guard lock(publisherMutex);
-        return publisher.publishEdits(edits, expected);
+        const auto before = config->current();
+        const auto done = publisher.publishEdits(edits, expected, config->position().number);
+        const auto after = done && before ? applyEdits(*before, edits) : configuration {};
+        if (done && after)
+            floodWithdrawals(before, *after, *done);
+        return done;
     };
     return result;
 }
 
+/// Tells all entries of keys that the publication withdraws, ahead of the configuration.
+void control_node::parts::floodWithdrawals(
+    const configuration_ptr& before, const configuration& after, revision number) const
+{
+    if (!before)
+        return;
+    for (const auto& withdrawal : withdrawalsBetween(*before, after, number)) {
+        event_line(log_level::info, "key.withdrawn").with("key", withdrawal.key).with("revision", number);
+        for (const auto& known : directory.all())
+            config->send(known.instance, process_role::entry, message_kind::key_withdrawal, packBody(withdrawal));
+    }
+}
+
 key_hooks control_node::parts::keys(const std::string& pepper) const
 {
     key_hooks hooks;
-    hooks.generate = [] { return Poco::UUIDGenerator::defaultGenerator().createRandom().toString(); };
-    hooks.hash = [pepper](const std::string& key) { return key_table::hash(pepper, key); };
+    hooks.generate = generateKey;
+    hooks.hash = [hasher = key_hasher(pepper)](const std::string& key) { return hasher.hash(key); };
     return hooks;
 }
 
@@ -99,7 +123,7 @@
 tl::expected<void, error> control_node::start()
 {
     auto& p = *m_parts;
-    const auto pepper = key_table::readPepper(p.settings.keyPepperFile);
+    const auto pepper = readKeyPepper(p.settings.keyPepperFile);
     if (!pepper)
         return tl::unexpected(pepper.error());
     const auto tokenText = readFile(p.settings.control.operatorTokenFile);
@@ -108,8 +132,17 @@
     auto tokens = operator_tokens::parse(*tokenText, p.settings.control.operatorTokenFile);
     if (!tokens)
         return tl::unexpected(tokens.error());
-    const auto listening
-        = p.bus.listen(p.settings.self.controlAddress, [&p](const envelope& message) { p.router.route(message); });
+    config_spread_hooks hooks;
+    hooks.onAdopted = [](const configuration_ptr& current) {
+        event_line(log_level::info, "config.adopted").with("revision", current->number);
+    };
+    p.config = std::make_unique<config_spread>(
+        p.settings.self, process_role::control, p.own, p.settings.peers, p.directory, p.bus, &p.store, hooks);
+    p.config->registerWith(p.router);
+    const auto listening = p.bus.listen(p.settings.self.controlAddress, [&p](const envelope& message) {
+        if (p.filter.accept(message))
+            p.router.route(message);
+    });
     if (!listening)
         return listening;
     admin_registry registry;
@@ -118,8 +151,7 @@
     addMoveCommands(registry, p.access());
     addConfigurationQueries(registry, p.access());
     p.admin = std::make_unique<admin_server>(std::move(*tokens), std::move(registry));
-    p.config
-        = std::make_unique<config_poll>(p.settings, [&p](const configuration_ptr& current) { p.holder.set(current); });
+    p.config->start();
     const auto started = p.admin->start(p.settings.control.adminAddress);
     if (!started)
         return started;
@@ -131,7 +163,7 @@
 {
     auto& p = *m_parts;
     p.admin->stop(adminStopPatience);
-    p.config.reset();
+    p.config->stop();
     p.bus.stop();
     event_line(log_level::info, "control.stopped");
 }
--- a/src/flamingoroute/runtime/entry_node.cpp
+++ b/src/flamingoroute/runtime/entry_node.cpp
@@ -1,14 +1,17 @@
 #include "flamingoroute/runtime/entry_node.hpp"
 
+#include "flamingoroute/keys/key_authenticator.hpp"
+#include "flamingoroute/keys/key_secret.hpp"
+#include "flamingoroute/peers/incarnation_filter.hpp"
+#include "flamingoroute/peers/message_body.hpp"
 #include "flamingoroute/peers/peer_bus.hpp"
 #include "flamingoroute/report/event_log.hpp"
 #include "flamingoroute/requests/request_pipeline.hpp"
 #include "flamingoroute/requests/upstream_client.hpp"
 #include "flamingoroute/runtime/caller_server.hpp"
-#include "flamingoroute/runtime/config_poll.hpp"
+#include "flamingoroute/runtime/config_spread.hpp"
 #include "flamingoroute/runtime/configuration_holder.hpp"
 #include "flamingoroute/runtime/incarnation_clock.hpp"
-#include "flamingoroute/runtime/key_table.hpp"
 #include "flamingoroute/runtime/lookup_json.hpp"
 #include "flamingoroute/runtime/member_directory.hpp"
 #include "flamingoroute/runtime/message_router.hpp"
@@ -16,6 +19,7 @@
 #include "flamingoroute/steering/upstream_pool.hpp"
 
 #include <atomic>
+#include <mutex>
 #include <thread>
 
 namespace flamingoroute {
@@ -54,7 +58,10 @@
 
     pipeline_hooks pipelineHooks();
     caller_server_hooks serverHooks();
+    config_spread_hooks spreadHooks();
     void adopt(const configuration_ptr& current);
+    void takeMembers(const std::vector<member_status>& members);
+    void takeWithdrawal(const envelope& message);
     void rebuildLookups();
     caller_answer lookUp(const std::string& clientAddress) const;
 
@@ -64,13 +71,16 @@
     message_router router;
     peer_bus bus;
     configuration_holder holder;
-    key_table keys;
+    incarnation_filter filter; ///< for the bus's thread only
+    std::unique_ptr<key_authenticator> keys;
     upstream_pool pool;
     upstream_client client;
+    std::mutex lookupsMutex;
+    std::vector<member> liveMembers;
     std::atomic<lookup_table_ptr> lookups;
     request_pipeline pipeline;
     caller_server callers;
-    std::unique_ptr<config_poll> config;
+    std::unique_ptr<config_spread> config;
     std::atomic<bool> isLeaving { false };
 };
 
@@ -79,7 +89,7 @@
     pipeline_hooks hooks;
     hooks.now = monotonicNow;
     hooks.currentConfiguration = [this] { return holder.get(); };
-    hooks.authenticate = [this](const std::string& key) { return keys.authenticate(key); };
+    hooks.authenticate = [this](const std::string& key) { return keys->authenticate(key); };
     hooks.admit = [](const customer_id&, monotonic_time) { return tl::expected<void, refusal> {}; };
     hooks.chooseVersion = [](const service& wanted, const route&) { return wanted.currentVersion; };
     hooks.acquireUpstream = [this](const upstream_wish& wish) { return pool.acquire(wish); };
@@ -100,7 +110,7 @@
     caller_server_hooks hooks;
     hooks.serve = [this](const caller_request& request) { return pipeline.handle(request); };
     hooks.lookUp = [this](const std::string& clientAddress) { return lookUp(clientAddress); };
-    hooks.isReady = [this] { return holder.get() != nullptr && !isLeaving; };
+    hooks.isReady = [this] { return config && config->isReady() && !isLeaving; };
     return hooks;
 }
 
@@ -121,8 +131,9 @@
     const auto current = holder.get();
     if (!current)
         return;
+    const std::lock_guard lock(lookupsMutex);
     std::vector<member> live;
-    for (const auto& known : directory.all()) {
+    for (const auto& known : liveMembers) {
         if (!(isLeaving && known.instance == settings.self.instance))
             live.push_back(known);
     }
@@ -132,13 +143,49 @@
 
 void entry_node::parts::adopt(const configuration_ptr& current)
 {
-    keys.adopt(*current);
+    keys->adopt(current);
     pool.adopt(current);
     holder.set(current);
     rebuildLookups();
     event_line(log_level::info, "config.adopted").with("revision", current->number);
 }
 
+config_spread_hooks entry_node::parts::spreadHooks()
+{
+    config_spread_hooks hooks;
+    hooks.onAdopted = [this](const configuration_ptr& current) { adopt(current); };
+    hooks.onMembers = [this](const auto& members) { takeMembers(members); };
+    hooks.onPlatformSeen = [this](monotonic_time when) { keys->confirmFresh(when); };
+    hooks.isLeaving = [this] { return isLeaving.load(); };
+    return hooks;
+}
+
+void entry_node::parts::takeMembers(const std::vector<member_status>& members)
+{
+    {
+        const std::lock_guard lock(lookupsMutex);
+        liveMembers.clear();
+        for (const auto& known : members) {
+            if (known.state == member_state::live)
+                liveMembers.push_back(known.where);
+        }
+    }
+    rebuildLookups();
+}
+
+/// Refuses a withdrawn key at once and tells the failure domain, the first time it is heard of.
+void entry_node::parts::takeWithdrawal(const envelope& message)
+{
+    const auto withdrawal = unpackBody<key_withdrawal>(message.body);
+    if (!withdrawal || !keys->withdraw(*withdrawal))
+        return;
+    event_line(log_level::info, "key.withdrawn").with("key", withdrawal->key).with("revision", withdrawal->number);
+    for (const auto& peer : directory.all()) {
+        if (peer.instance != settings.self.instance && peer.failureDomain == settings.self.failureDomain)
+            bus.send(peer.entryAddress, message_kind::key_withdrawal, message.body);
+    }
+}
+
 entry_node::entry_node(instance_settings settings)
     : m_parts(std::make_unique<parts>(std::move(settings)))
 {
@@ -149,15 +196,21 @@
 tl::expected<void, error> entry_node::start()
 {
     auto& p = *m_parts;
-    const auto pepper = key_table::readPepper(p.settings.keyPepperFile);
+    const auto pepper = readKeyPepper(p.settings.keyPepperFile);
     if (!pepper)
         return tl::unexpected(pepper.error());
-    p.keys.setPepper(*pepper);
-    const auto listening
-        = p.bus.listen(p.settings.self.entryAddress, [&p](const envelope& message) { p.router.route(message); });
+    p.keys = std::make_unique<key_authenticator>(key_hasher(*pepper), monotonicNow);
+    p.config = std::make_unique<config_spread>(
+        p.settings.self, process_role::entry, p.own, p.settings.peers, p.directory, p.bus, nullptr, p.spreadHooks());
+    p.config->registerWith(p.router);
+    p.router.on(message_kind::key_withdrawal, [&p](const envelope& message) { p.takeWithdrawal(message); });
+    const auto listening = p.bus.listen(p.settings.self.entryAddress, [&p](const envelope& message) {
+        if (p.filter.accept(message))
+            p.router.route(message);
+    });
     if (!listening)
         return listening;
-    p.config = std::make_unique<config_poll>(p.settings, [&p](const configuration_ptr& current) { p.adopt(current); });
+    p.config->start();
     const auto started = p.callers.start(p.settings.self.callerAddress);
     if (!started)
         return started;
@@ -179,7 +232,7 @@
     while (p.callers.activeCount() > 0 && monotonicNow() < giveUpAt)
         std::this_thread::sleep_for(stopPoll);
     p.callers.stop(std::chrono::duration_cast<milliseconds>(giveUpAt - monotonicNow()));
-    p.config.reset();
+    p.config->stop();
     p.bus.stop();
     event_line(log_level::info, "entry.stopped");
 }
--- /dev/null
+++ b/src/flamingoroute/runtime/membership_duty.hpp
@@ -0,0 +1,52 @@
+#ifndef FLAMINGOROUTE_RUNTIME_MEMBERSHIP_DUTY_HPP
+#define FLAMINGOROUTE_RUNTIME_MEMBERSHIP_DUTY_HPP
+
+#include "flamingoroute/peers/membership.hpp"
+#include "flamingoroute/runtime/duty_thread.hpp"
+#include "flamingoroute/runtime/membership_duty_hooks.hpp"
+#include "flamingoroute/runtime/message_router.hpp"
+
+#include <mutex>
+
+namespace flamingoroute {
+
+/// Runs the membership on a thread of its own. Both processes of an instance have one.
+class membership_duty {
+public:
+    membership_duty(
+        member self, process_role role, incarnation own, const std::vector<member>& seeds, membership_duty_hooks hooks);
+    ~membership_duty();
+
+    /// Takes heartbeats; to be called before the bus listens.
+    void registerWith(message_router& router);
+
+    void start();
+    void stop();
+
+    /// Safe to call from any thread.
+    void onPlatformList(std::vector<platform_instance> listed);
+
+    /// @return all members as of the last tick
+    std::vector<member_status> members() const;
+
+    /// @return when the revision was last known to be the platform's newest, by any peer
+    std::optional<monotonic_time> platformSeenAt() const;
+
+private:
+    using membership_event = std::function<std::vector<heartbeat_message>(membership&, monotonic_time)>;
+
+    void run(const membership_event& event);
+    void publish(monotonic_time now);
+
+    membership_duty_hooks m_hooks;
+    membership m_membership;
+    mutable std::mutex m_publishedMutex;
+    std::vector<member_status> m_published;
+    bool m_isBridge = false;
+    std::optional<monotonic_time> m_platformSeen;
+    duty_thread<membership_event> m_thread;
+};
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/runtime/membership_duty_hooks.hpp
@@ -0,0 +1,33 @@
+#ifndef FLAMINGOROUTE_RUNTIME_MEMBERSHIP_DUTY_HOOKS_HPP
+#define FLAMINGOROUTE_RUNTIME_MEMBERSHIP_DUTY_HOOKS_HPP
+
+#include "flamingoroute/model/monotonic_time.hpp"
+#include "flamingoroute/peers/member_status.hpp"
+#include "flamingoroute/peers/message_sender.hpp"
+
+#include <functional>
+#include <optional>
+#include <vector>
+
+namespace flamingoroute {
+
+/// What the membership duty calls, on its own thread; none may block.
+struct membership_duty_hooks {
+    message_sender send;
+    std::function<revision()> inForce; ///< revision of the configuration in force here
+    std::function<bool()> isLeaving;
+
+    /// @return when this process itself last knew its revision to be the platform's newest; may be empty
+    std::function<std::optional<monotonic_time>()> platformSeen;
+
+    /// The revision in force was known to be the platform's newest at this time; may be empty.
+    std::function<void(monotonic_time)> onPlatformSeen;
+
+    /// The members changed, or this instance became or ceased to be a bridge.
+    std::function<void(const std::vector<member_status>& members, const std::vector<instance_id>& remoteBridges)>
+        onMembers;
+};
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/runtime/watch_duty.cpp
@@ -0,0 +1,150 @@
+#include "flamingoroute/runtime/watch_duty.hpp"
+
+#include "flamingoroute/config/config_head.hpp"
+
+#include <random>
+
+namespace flamingoroute {
+
+namespace {
+
+constexpr std::size_t ringCapacity = 1024;
+constexpr milliseconds readerTick { 1000 };
+constexpr milliseconds watchPatience { 2000 };
+constexpr milliseconds idlePause { 50 };
+
+watch_policy::random_fraction makeRandom()
+{
+    return [engine = std::mt19937(std::random_device {}())]() mutable {
+        return std::uniform_real_distribution<double>(0, 1)(engine);
+    };
+}
+
+} // namespace
+
+watch_duty::watch_duty(object_store& store, watch_duty_hooks hooks)
+    : m_store(store)
+    , m_hooks(std::move(hooks))
+    , m_policy(makeRandom())
+    , m_reader(
+          ringCapacity, readerTick, [](const read_job& job) { job(); }, [] {})
+{
+}
+
+watch_duty::~watch_duty() { stop(); }
+
+void watch_duty::start()
+{
+    m_reader.start();
+    m_watcher = std::thread([this] { watchLoop(); });
+}
+
+void watch_duty::stop()
+{
+    m_isStopping = true;
+    if (m_watcher.joinable())
+        m_watcher.join();
+    m_reader.stop();
+}
+
+void watch_duty::readHead()
+{
+    m_reader.post([this] { fetchHead(); });
+}
+
+void watch_duty::readChunks(const std::vector<std::string>& hashes)
+{
+    for (const auto& hash : hashes) {
+        m_reader.post([this, hash] {
+            const auto chunk = m_store.get(configChunkKind, hash);
+            if (chunk)
+                m_hooks.onChunk(hash, chunk->value);
+            else
+                m_hooks.onFault(chunk.error());
+        });
+    }
+}
+
+std::optional<monotonic_time> watch_duty::answeredAt() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_answeredAt;
+}
+
+void watch_duty::noteAnswer(monotonic_time askedAt)
+{
+    const std::lock_guard lock(m_mutex);
+    m_answeredAt = askedAt;
+}
+
+void watch_duty::watchLoop()
+{
+    while (!m_isStopping) {
+        auto lastWord = answeredAt();
+        const auto byPeers = m_hooks.platformSeenByPeers ? m_hooks.platformSeenByPeers() : std::nullopt;
+        if (byPeers && (!lastWord || *lastWord < *byPeers))
+            lastWord = byPeers;
+        const auto step = m_policy.next(m_isWatcher, lastWord, monotonicNow());
+        if (step == watch_step::wait)
+            std::this_thread::sleep_for(idlePause);
+        else
+            perform(step);
+    }
+}
+
+void watch_duty::perform(watch_step step)
+{
+    bool isAnswered = false;
+    if (step == watch_step::watch_head)
+        isAnswered = watchOnce();
+    else if (step == watch_step::read_head)
+        isAnswered = fetchHead();
+    else
+        isAnswered = fetchInstances();
+    m_policy.onDone(step, isAnswered, monotonicNow());
+}
+
+bool watch_duty::watchOnce()
+{
+    const auto askedAt = monotonicNow();
+    const auto changes = m_store.watch(configHeadKind, m_sequence, watchPatience);
+    if (!changes) {
+        m_hooks.onFault(changes.error());
+        return false;
+    }
+    noteAnswer(askedAt);
+    for (const auto& change : *changes) {
+        m_sequence = change.sequence;
+        if (!change.isDeleted)
+            m_hooks.onHead(change.object.value);
+    }
+    return true;
+}
+
+bool watch_duty::fetchHead()
+{
+    const auto askedAt = monotonicNow();
+    const auto head = m_store.get(configHeadKind, configHeadName);
+    if (!head && head.error().code != error_code::not_found) {
+        m_hooks.onFault(head.error());
+        return false;
+    }
+    noteAnswer(askedAt);
+    m_sequence = head ? head->version : 0;
+    if (head)
+        m_hooks.onHead(head->value);
+    return true;
+}
+
+bool watch_duty::fetchInstances()
+{
+    const auto listed = m_store.instances();
+    if (!listed) {
+        m_hooks.onFault(listed.error());
+        return false;
+    }
+    m_hooks.onInstances(*listed);
+    return true;
+}
+
+} // namespace flamingoroute
--- /dev/null
+++ b/src/flamingoroute/runtime/watch_duty_hooks.hpp
@@ -0,0 +1,28 @@
+#ifndef FLAMINGOROUTE_RUNTIME_WATCH_DUTY_HOOKS_HPP
+#define FLAMINGOROUTE_RUNTIME_WATCH_DUTY_HOOKS_HPP
+
+#include "flamingoroute/model/error.hpp"
+#include "flamingoroute/model/monotonic_time.hpp"
+#include "flamingoroute/store/platform_instance.hpp"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace flamingoroute {
+
+/// What the watch duty calls, on its own threads.
+struct watch_duty_hooks {
+    std::function<void(const std::string& value)> onHead;
+    std::function<void(const std::string& hash, const std::string& content)> onChunk;
+    std::function<void(const std::vector<platform_instance>&)> onInstances;
+    std::function<void(const error&)> onFault;
+
+    /// @return when any peer last had word from the platform
+    std::function<std::optional<monotonic_time>()> platformSeenByPeers;
+};
+
+} // namespace flamingoroute
+
+#endif
