Lower the bound of an instance although later grants are still on their way

Cause: a bound fell only if the instance had seen the very last grant. Now the ledger remembers the ceilings of grants not yet seen, and the bound falls to the most that those or the instance itself allow. Scenarios: full links, frozen loads, leaving upstreams, a customer above its part, allocators that die or pause, an outage of the platform.

--- a/src/flamingoroute/steering/request_queue.cpp
+++ b/src/flamingoroute/steering/request_queue.cpp
@@ -31,18 +31,15 @@
     auto& interactive = queueOf(request_class::interactive);
     auto& bulk = queueOf(request_class::bulk);
     const bool isBulkDue = m_interactiveInRow >= m_settings.interactivePerBulk;
-    if (isBulkDue) {
-        if (auto found = popFrom(bulk, canStart)) {
-            m_interactiveInRow = 0;
-            return found;
-        }
-    }
-    if (auto found = popFrom(interactive, canStart)) {
-        m_interactiveInRow = bulk.order.empty() ? 0 : m_interactiveInRow + 1;
-        return found;
+    auto found = popFrom(isBulkDue ? bulk : interactive, canStart);
+    bool isBulk = isBulkDue;
+    if (!found) {
+        isBulk = !isBulkDue;
+        found = popFrom(isBulk ? bulk : interactive, canStart);
     }
-    m_interactiveInRow = 0;
-    return popFrom(bulk, canStart);
+    if (found)
+        m_interactiveInRow = isBulk || bulk.order.empty() ? 0 : m_interactiveInRow + 1;
+    return found;
 }
 
 std::optional<waiting_request> request_queue::popFrom(
--- a/src/flamingoroute/steering/slot_ledger.cpp
+++ b/src/flamingoroute/steering/slot_ledger.cpp
@@ -139,22 +139,36 @@
     }
 }
 
-void slot_ledger::settle(const slot_request& request, holder& who, bool isCurrent)
+int slot_ledger::holder::highestUnseen(const std::string& name) const
 {
-    for (auto& [name, held] : who.positions) {
-        held.wanted = 0;
-        held.steady = 0;
-        const auto isNamed = std::any_of(request.entries.begin(), request.entries.end(),
-            [&name = name](const slot_entry& entry) { return entry.upstream == name; });
-        if (isCurrent && !isNamed)
-            held.bound = 0;
+    int highest = 0;
+    for (const auto& [number, ceilings] : unseen) {
+        const auto found = ceilings.find(name);
+        if (found != ceilings.end())
+            highest = std::max(highest, found->second);
     }
+    return highest;
+}
+
+/// Takes in what an instance holds and wants. Grants up to the last one seen no longer raise what it holds.
+void slot_ledger::settle(const slot_request& request, holder& who) const
+{
+    const bool isOfThisEpoch = request.heldEpoch == epoch();
+    if (isOfThisEpoch)
+        who.unseen.erase(who.unseen.begin(), who.unseen.upper_bound(request.grantSeen));
+    std::map<std::string, slot_entry> entries;
     for (const auto& entry : request.entries) {
-        auto& held = who.positions[entry.upstream];
+        entries[entry.upstream] = entry;
+        who.positions.try_emplace(entry.upstream);
+    }
+    for (auto& [name, held] : who.positions) {
+        const auto& entry = entries[name];
         held.wanted = entry.wanted;
         held.steady = std::min(entry.wanted, entry.steady);
-        if (isCurrent)
-            held.bound = entry.have;
+        if (!isOfThisEpoch)
+            continue;
+        held.bound = std::max(entry.have, who.highestUnseen(name));
+        held.ceiling = std::min(held.ceiling, held.bound);
     }
 }
 
@@ -187,9 +201,7 @@
     who.requestSeen = request.number;
     who.requestAt = now;
     who.linkBytesWanted = request.linkBytesWanted;
-    if (request.heldEpoch == epoch())
-        who.grantSeen = std::max(who.grantSeen, request.grantSeen);
-    settle(request, who, request.heldEpoch == epoch() && request.grantSeen == who.grantsSent);
+    settle(request, who);
     who.isReplyDue = true;
     if (who.grantsSent == 0)
         noteRuns(who);
@@ -201,6 +213,9 @@
     return who.isLocal ? m_settings.grantLife : m_settings.creditLife;
 }
 
+/// @return whether grants to a holder that has not asked again would lapse before they arrive
+bool slot_ledger::hasLapsed(const holder& who) const { return m_latest >= who.requestAt + lifeFor(who); }
+
 void slot_ledger::noteRuns(holder& who) const
 {
     who.runsUntil = std::max(who.runsUntil, who.requestAt + lifeFor(who) + m_settings.clockDrift + m_longestDeadline);
@@ -246,7 +261,7 @@
         const auto held = who.positions.find(name);
         if (held == who.positions.end())
             continue;
-        if (who.isGone)
+        if (who.isGone || hasLapsed(who))
             held->second.ceiling = 0;
         else
             (who.isLocal ? locals : borrowers).push_back(&held->second);
@@ -306,7 +321,7 @@
 
 bool slot_ledger::isGrantDue(const holder& who, monotonic_time now) const
 {
-    if (who.isGone || who.requestSeen == 0)
+    if (who.isGone || who.requestSeen == 0 || hasLapsed(who))
         return false;
     if (who.isReplyDue)
         return true;
@@ -334,9 +349,12 @@
     if (link != m_links.end() && who.linkBytesWanted > 0)
         grant.linkBytes = link->second.take(who.linkBytesWanted, now);
     who.linkBytesWanted -= std::min(who.linkBytesWanted, grant.linkBytes);
+    auto& ceilings = who.unseen[grant.number];
     for (const auto& [name, held] : who.positions) {
-        if (held.ceiling > 0)
-            grant.ceilings.push_back({ name, held.ceiling });
+        if (held.ceiling <= 0)
+            continue;
+        grant.ceilings.push_back({ name, held.ceiling });
+        ceilings[name] = held.ceiling;
     }
     for (const auto& [name, target] : m_stocks) {
         if (target.isLeaving)
--- a/src/flamingoroute/steering/slot_ledger.hpp
+++ b/src/flamingoroute/steering/slot_ledger.hpp
@@ -21,7 +21,7 @@
 ///
 /// For each instance the ledger holds an upper bound of what that instance may be using. The bounds of an upstream
 /// never sum to more than its slots. A bound rises before the grant is sent and falls only
-///  - when the instance, having seen the last grant, says that it holds less; or
+///  - when the instance says that it holds less, and no grant that it has not seen yet gives it more; or
 ///  - when the grants have lapsed, requests started under them are past their deadline, and, for an instance of the
 ///    same failure domain, the lease was confirmed after that, so that no successor has taken the slots over.
 ///
@@ -92,7 +92,6 @@
         bool isLocal = false;
         std::uint64_t requestSeen = 0;
         std::uint64_t grantsSent = 0;
-        std::uint64_t grantSeen = 0;
         std::uint64_t linkBytesWanted = 0;
         monotonic_time requestAt;
         monotonic_time sentAt;
@@ -100,6 +99,9 @@
         bool isReplyDue = false;
         bool isGone = false; ///< a newer incarnation runs
         std::map<std::string, position> positions;
+        std::map<std::uint64_t, std::map<std::string, int>> unseen; ///< ceilings of grants that may still arrive
+
+        int highestUnseen(const std::string& name) const;
     };
     struct stock {
         int slots = 0;
@@ -112,7 +114,8 @@
     slot_grant noticeFor(const std::string& instance, incarnation run) const;
     holder& holderOf(const slot_request& request);
     void inherit(const slot_request& request, holder& who);
-    static void settle(const slot_request& request, holder& who, bool isCurrent);
+    void settle(const slot_request& request, holder& who) const;
+    bool hasLapsed(const holder& who) const;
     void noteRuns(holder& who) const;
     void reclaim(monotonic_time now);
     void dropPredecessor(const instance_id& gone, incarnation below, monotonic_time now);
--- a/tests/scenarios/steering_fleet.cpp
+++ b/tests/scenarios/steering_fleet.cpp
@@ -267,9 +267,10 @@
 {
     auto& target = m_upstreams.at(chosen.target.name);
     attempt_result result;
-    if (target.isBroken || target.isLeaving) {
+    const bool isRefusing = target.isLeaving || std::exchange(target.isLeavingOnce, false);
+    if (target.isBroken || isRefusing) {
         result.outcome = target.isBroken ? attempt_outcome::not_sent : attempt_outcome::refused;
-        result.isUpstreamLeaving = target.isLeaving;
+        result.isUpstreamLeaving = isRefusing;
         at(m_now + trip, [this, &where, what, chosen, result] { answer(where, what, chosen, result); });
         return;
     }
@@ -323,7 +324,7 @@
             continue;
         probe_answer answered;
         answered.isReached = !target.isBroken || target.doesHealthLie;
-        answered.isLeaving = target.isLeaving && !target.doesHealthLie;
+        answered.isLeaving = (target.isLeaving || target.isLeavingQuietly) && !target.doesHealthLie;
         answered.load = target.frozenLoad.value_or(static_cast<double>(target.busy) / object.slots);
         where.core->noteProbe(object.name, answered, time());
     }
--- a/tests/scenarios/steering_fleet.hpp
+++ b/tests/scenarios/steering_fleet.hpp
@@ -37,6 +37,8 @@
     double slowness = 1;
     bool isBroken = false; ///< closes each connection at once
     bool isLeaving = false; ///< refuses new work and says so
+    bool isLeavingQuietly = false; ///< says so by its health endpoint only
+    bool isLeavingOnce = false; ///< refuses the next request and says so, then takes work
     bool doesHealthLie = false; ///< its health endpoint says that all is well
     std::optional<double> frozenLoad;
     std::optional<microseconds> leavingSince;
--- a/tests/scenarios/steering_world.cpp
+++ b/tests/scenarios/steering_world.cpp
@@ -29,7 +29,8 @@
 ///     heal
 ///     platform down|up
 ///     kill|restart|pause|resume INSTANCE
-///     upstreams at PLACE broken|mended|leaving|lying|slow FACTOR|frozen LOAD|withdrawn
+///     upstreams at PLACE broken|mended|lying|slow FACTOR|frozen LOAD|withdrawn
+///     upstreams at PLACE leaving|leaving-quietly|leaving-once   refuses all, none or one request with its word
 ///     forget                              begins to count answers anew
 ///     expect no overload at PLACE
 ///     expect customer NAME answered >= SHARE | refused <= SHARE | p99 <= TIME
@@ -153,11 +154,13 @@
                 target->slowness = std::stod(w[4]);
             else if (w[3] == "frozen")
                 target->frozenLoad = std::stod(w[4]);
-            else if (w[3] == "leaving" || w[3] == "withdrawn")
+            else if (w[3].starts_with("leaving") || w[3] == "withdrawn")
                 target->leavingSince = m_fleet->now();
             else
                 return fail(w[3], "is no state of upstreams");
             target->isLeaving = target->isLeaving || w[3] == "leaving";
+            target->isLeavingQuietly = target->isLeavingQuietly || w[3] == "leaving-quietly";
+            target->isLeavingOnce = target->isLeavingOnce || w[3] == "leaving-once";
         }
         if (w[3] == "withdrawn") {
             m_fleet->changeConfiguration([&](configuration& next) {
