--- a/src/flamingoroute/runtime/entry_node.cpp
+++ b/src/flamingoroute/runtime/entry_node.cpp
@@ -60,6 +60,15 @@
     };
 }
 
+/// Shares each upstream's connections between the instances known at the start.
+upstream_client_options clientOptions(const instance_settings& settings)
+{
+    upstream_client_options options;
+    options.instancesPerUpstream = static_cast<int>(settings.peers.size()) + 1;
+    options.maxAnswerBytes = static_cast<std::size_t>(settings.entry.maxAnswerBytes);
+    return options;
+}
+
 } // namespace
 
 struct entry_node::parts {
@@ -70,6 +79,7 @@
         , store(storeSettings(settings))
         , pool(identityOf(settings.self, own), senderTo(directory, bus))
         , steering(pool, store, settings.self, own, [this] { return directory.all(); })
+        , client(clientOptions(settings))
         , guards(settings, own, directory, bus)
         , pipeline(pipelineHooks())
         , callers(settings.entry, settings.self.instance.value() + "-" + std::to_string(own) + "-", serverHooks())
--- a/src/flamingoroute/steering/upstream_health.cpp
+++ b/src/flamingoroute/steering/upstream_health.cpp
@@ -61,7 +61,7 @@
     if (result.isUpstreamLeaving)
         known.leavingUntil = now + m_settings.leavingMemory;
     noteLoad(known, result.reportedLoad, now);
-    if (result.outcome == attempt_outcome::refused)
+    if (result.isSlotUnused || result.outcome == attempt_outcome::refused)
         return;
     if (isFailure(result))
         noteFailure(known, now);
