Wire moves: the entry's version duty and the control's moves duty

An entry chooses the version of each attempt by its share cap; a retry, and a request for which no upstream of the new version is healthy, goes to the old version. Attempts are observed one by one through an optional pipeline hook. A leader's confirmations over nng keep an unverified share fresh, because the configuration poll says nothing on freshness. The publisher gets an optional merge step: an operator's edit of a move, made from an older reading, would else have put a move that was taken back into force again.

--- a/src/flamingoroute/config/config_publisher.cpp
+++ b/src/flamingoroute/config/config_publisher.cpp
@@ -96,7 +96,7 @@
         const auto objects = make(base->objects);
         if (!objects)
             return tl::unexpected(invalidSet("config.edit", objects.error()));
-        auto done = commit(*base, *objects, floor);
+        auto done = commit(*base, m_merge ? m_merge(*objects, base->objects) : *objects, floor);
         if (done || done.error().cause.code != error_code::conflict || expected)
             return done;
     }
--- a/src/flamingoroute/config/config_publisher.hpp
+++ b/src/flamingoroute/config/config_publisher.hpp
@@ -25,6 +25,12 @@
     /// @param writer names this publisher, unique among all that may publish
     config_publisher(object_store& store, std::string writer);
 
+    using set_merger = std::function<configuration(configuration wanted, const configuration& base)>;
+
+    /// Sets what is done to each set before it is checked, for example to keep what the system itself wrote.
+    /// @param merge gets the wanted set and the one that it replaces
+    void setMerger(set_merger merge) { m_merge = std::move(merge); }
+
     /// @return what is published now; an empty set with revision 0 if nothing was ever published
     tl::expected<published_config, error> read();
 
@@ -56,6 +62,7 @@
     object_store& m_store;
     std::string m_writer;
     std::uint64_t m_sequence = 0;
+    set_merger m_merge;
 };
 
 } // namespace flamingoroute
--- a/src/flamingoroute/moves/effective_share.hpp
+++ b/src/flamingoroute/moves/effective_share.hpp
@@ -9,7 +9,7 @@
 
 /// What an instance knows by itself about a move.
 struct local_move_view {
-    bool isFresh = true; ///< the configuration was confirmed a short time ago
+    bool isFresh = true; ///< a leader confirmed the step a short time ago
     bool isStopped = false; ///< the version was seen failing, here or by the move's leader
     std::int64_t nowUnixMs = 0;
 };
--- a/src/flamingoroute/moves/move_follower.cpp
+++ b/src/flamingoroute/moves/move_follower.cpp
@@ -25,9 +25,11 @@
             continue;
         const auto known = m_moves.find(move.name);
         if (known == m_moves.end() || !isSameWish(known->second.observer.move(), move)) {
-            moves.emplace(move.name, followed { move_observer(move, m_settings, at.now) });
+            moves.emplace(move.name, followed { move_observer(move, m_settings, at.now), at.now });
             continue;
         }
+        if (known->second.observer.move().steppedAtUnixMs != move.steppedAtUnixMs)
+            known->second.confirmedAt = at.now;
         known->second.observer.adopt(move, at.now);
         moves.emplace(move.name, std::move(known->second));
     }
@@ -49,13 +51,20 @@
     return isStopped;
 }
 
-bool move_follower::noteStop(const move_observation& notice)
+bool move_follower::noteLeader(const move_observation& notice, monotonic_time now)
 {
     const auto found = m_moves.find(move_id(notice.move));
-    if (!notice.isStopped || found == m_moves.end())
+    if (found == m_moves.end())
         return false;
     auto& observer = found->second.observer;
-    if (observer.isStopped() || observer.move().startAtUnixMs != notice.startAtUnixMs)
+    if (observer.move().startAtUnixMs != notice.startAtUnixMs)
+        return false;
+    if (!notice.isStopped) {
+        if (observer.move().steppedAtUnixMs == notice.steppedAtUnixMs)
+            found->second.confirmedAt = now;
+        return false;
+    }
+    if (observer.isStopped())
         return false;
     observer.stop(notice.reason);
     return true;
@@ -66,8 +75,8 @@
     std::vector<version_split> result;
     for (const auto& [name, each] : m_moves) {
         const auto& move = each.observer.move();
-        const int percent
-            = effectiveShare(move, local_move_view { at.isFresh, each.observer.isStopped(), at.nowUnixMs });
+        const bool isFresh = at.now - each.confirmedAt < m_settings.staleAfter;
+        const int percent = effectiveShare(move, local_move_view { isFresh, each.observer.isStopped(), at.nowUnixMs });
         if (isSwitchedOver(move) && percent == 100)
             continue;
         if (move.phase != move_phase::waiting)
--- a/src/flamingoroute/moves/move_follower.hpp
+++ b/src/flamingoroute/moves/move_follower.hpp
@@ -18,7 +18,6 @@
     struct view {
         monotonic_time now;
         std::int64_t nowUnixMs = 0;
-        bool isFresh = true; ///< the configuration was confirmed less than `staleAfter` ago
     };
 
     explicit move_follower(const move_settings& settings)
@@ -32,9 +31,12 @@
     /// @return whether the new version was stopped by this attempt, so that the splits have to be renewed at once
     bool note(const observed_attempt& attempt, monotonic_time now);
 
-    /// Takes a leader's notice to stop.
+    /// Takes a leader's notice: it confirms the step in force, or stops the version.
     /// @return whether it stopped a version here
-    bool noteStop(const move_observation& notice);
+    bool noteLeader(const move_observation& notice, monotonic_time now);
+
+    /// @return whether there is a move to follow
+    bool isFollowing() const { return !m_moves.empty(); }
 
     /// @return the splits that this entry may apply now
     std::vector<version_split> splits(const view& at) const;
@@ -45,6 +47,7 @@
 private:
     struct followed {
         move_observer observer;
+        monotonic_time confirmedAt {}; ///< when the step was adopted or a leader last confirmed it
         monotonic_time reportedAt {};
         bool hasReportedStop = false;
     };
--- a/src/flamingoroute/moves/move_leader.cpp
+++ b/src/flamingoroute/moves/move_leader.cpp
@@ -14,6 +14,18 @@
         && left.startAtUnixMs == right.startAtUnixMs;
 }
 
+move_observation noticeOf(const version_move& move, const version_verdict& verdict)
+{
+    move_observation notice;
+    notice.move = move.name.value();
+    notice.startAtUnixMs = move.startAtUnixMs;
+    notice.steppedAtUnixMs = move.steppedAtUnixMs;
+    notice.isStopped = verdict.state == verdict_state::bad;
+    if (notice.isStopped)
+        notice.reason = verdict.reason;
+    return notice;
+}
+
 } // namespace
 
 move_leader::led::led(const version_move& published, const move_settings& settings, monotonic_time now)
@@ -75,15 +87,11 @@
     for (auto& [name, each] : m_moves) {
         measureRate(each, at.now);
         const auto verdict = verdictOf(each);
-        if (verdict.state == verdict_state::bad) {
-            move_observation notice;
-            notice.move = name.value();
-            notice.startAtUnixMs = each.move.startAtUnixMs;
-            notice.isStopped = true;
-            notice.reason = verdict.reason;
-            result.stopNotices.push_back(notice);
-        }
-        if (!at.holdsLease(name))
+        const bool isBad = verdict.state == verdict_state::bad;
+        const bool isLed = at.holdsLease(name);
+        if (isBad || isLed)
+            result.notices.push_back(noticeOf(each.move, verdict));
+        if (!isLed)
             continue;
         move_event event;
         event.nowUnixMs = at.nowUnixMs;
--- a/src/flamingoroute/moves/move_leader.hpp
+++ b/src/flamingoroute/moves/move_leader.hpp
@@ -29,7 +29,7 @@
     /// What is to be done after a tick.
     struct actions {
         std::vector<version_move> publish; ///< next states, each to be published against the revision adopted last
-        std::vector<move_observation> stopNotices; ///< to every entry
+        std::vector<move_observation> notices; ///< to every entry: confirmations of steps, and stops
     };
 
     explicit move_leader(const move_settings& settings)
--- a/src/flamingoroute/moves/move_observation.hpp
+++ b/src/flamingoroute/moves/move_observation.hpp
@@ -13,7 +13,7 @@
 ///
 /// From an entry to a leader of the move: what it saw, and with it the confirmation of the step that it applies. Counts
 /// are totals since the step began at this incarnation, so that a lost or doubled message does no harm.
-/// From a leader to the entries: a notice to stop, with `isStopped` and no counts.
+/// From a leader to the entries, without counts: it confirms the step, or stops the version with `isStopped`.
 struct move_observation {
     std::string move;
     std::int64_t startAtUnixMs = 0; ///< tells two moves of the same name apart
--- a/src/flamingoroute/requests/pipeline_hooks.hpp
+++ b/src/flamingoroute/requests/pipeline_hooks.hpp
@@ -36,6 +36,14 @@
     /// @return the version that shall run this request
     std::function<version_id(const service& wanted, const route& way)> chooseVersion;
 
+    /// @return the version for another attempt at a request; may be empty: the version of the first attempt
+    std::function<version_id(const service& wanted, const route& way)> chooseRetryVersion;
+
+    /// Told of each attempt, also if no upstream of the version took it, for the verdict on versions. May be empty.
+    std::function<void(
+        const service& wanted, const route& way, const version_id& version, const attempt_result& result)>
+        observeAttempt;
+
     /// Queues for a slot at an upstream.
     /// @return a slot to be released, or why there is none
     std::function<tl::expected<chosen_upstream, refusal>(const upstream_wish& wish)> acquireUpstream;
--- a/src/flamingoroute/requests/request_pipeline.cpp
+++ b/src/flamingoroute/requests/request_pipeline.cpp
@@ -212,7 +212,8 @@
     wish.requestBytes = state.request.body.size();
     while (true) {
         wish.tried = state.tried;
-        const auto chosen = m_hooks.acquireUpstream(wish);
+        wish.version = state.record.version;
+        const auto chosen = acquire(wish, state);
         if (!chosen)
             return refuse(state.record.attempts == 0 ? chosen.error() : state.last, state);
         const auto ready = checkBeforeAttempt(state);
@@ -229,9 +230,28 @@
             return std::move(result.answer);
         if (!mayRetry(state, result))
             return refuse(state.last, state);
+        if (m_hooks.chooseRetryVersion)
+            state.record.version = m_hooks.chooseRetryVersion(*state.match.wanted, state.way());
     }
 }
 
+tl::expected<chosen_upstream, refusal> request_pipeline::acquire(upstream_wish& wish, progress& state) const
+{
+    auto chosen = m_hooks.acquireUpstream(wish);
+    if (chosen || chosen.error().reason != refusal_reason::no_healthy_upstream)
+        return chosen;
+    if (m_hooks.observeAttempt)
+        m_hooks.observeAttempt(*state.match.wanted, state.way(), wish.version, attempt_result {});
+    if (!m_hooks.chooseRetryVersion)
+        return chosen;
+    const auto other = m_hooks.chooseRetryVersion(*state.match.wanted, state.way());
+    if (other == wish.version)
+        return chosen;
+    wish.version = other;
+    state.record.version = other;
+    return m_hooks.acquireUpstream(wish);
+}
+
 request_pipeline::step_result request_pipeline::checkBeforeAttempt(progress& state) const
 {
     const auto now = m_hooks.now();
@@ -247,6 +267,8 @@
 
 void request_pipeline::noteAttempt(progress& state, const chosen_upstream& chosen, const attempt_result& result) const
 {
+    if (m_hooks.observeAttempt)
+        m_hooks.observeAttempt(*state.match.wanted, state.way(), state.record.version, result);
     ++state.record.attempts;
     state.record.upstream = chosen.target.name;
     state.record.upstreamTime += result.duration;
--- a/src/flamingoroute/runtime/control_node.cpp
+++ b/src/flamingoroute/runtime/control_node.cpp
@@ -6,6 +6,7 @@
 #include "flamingoroute/admin/commands/move_commands.hpp"
 #include "flamingoroute/admin/queries/configuration_queries.hpp"
 #include "flamingoroute/config/config_publisher.hpp"
+#include "flamingoroute/moves/move_progress.hpp"
 #include "flamingoroute/peers/peer_bus.hpp"
 #include "flamingoroute/report/event_log.hpp"
 #include "flamingoroute/runtime/config_poll.hpp"
@@ -14,6 +15,7 @@
 #include "flamingoroute/runtime/key_table.hpp"
 #include "flamingoroute/runtime/member_directory.hpp"
 #include "flamingoroute/runtime/message_router.hpp"
+#include "flamingoroute/runtime/moves_duty.hpp"
 #include "flamingoroute/settings/json_document.hpp"
 #include "flamingoroute/store/http_object_store.hpp"
 
@@ -44,13 +46,16 @@
         , bus(settings.self.instance, process_role::control, own)
         , store(storeSettings(settings))
         , publisher(store, settings.self.instance.value() + "/" + std::to_string(own))
+        , moves(move_settings {}, settings.self.instance, own, store, movesHooks())
     {
         directory.put(settings.self);
         for (const auto& peer : settings.peers)
             directory.put(peer);
+        publisher.setMerger(withProgress);
     }
 
     configuration_access access();
+    moves_duty_hooks movesHooks();
     key_hooks keys(const std::string& pepper) const;
 
     instance_settings settings;
@@ -62,10 +67,23 @@
     http_object_store store;
     std::mutex publisherMutex;
     config_publisher publisher;
+    moves_duty moves;
     std::unique_ptr<config_poll> config;
     std::unique_ptr<admin_server> admin;
 };
 
+moves_duty_hooks control_node::parts::movesHooks()
+{
+    moves_duty_hooks hooks;
+    hooks.currentConfiguration = [this] { return holder.get(); };
+    hooks.members = [this] { return directory.ids(); };
+    hooks.send = [this](const instance_id& to, process_role role, message_kind kind, std::string body) {
+        if (const auto address = directory.addressOf(to, role))
+            bus.send(*address, kind, std::move(body));
+    };
+    return hooks;
+}
+
 configuration_access control_node::parts::access()
 {
     configuration_access result;
@@ -108,6 +126,7 @@
     auto tokens = operator_tokens::parse(*tokenText, p.settings.control.operatorTokenFile);
     if (!tokens)
         return tl::unexpected(tokens.error());
+    p.moves.registerWith(p.router);
     const auto listening
         = p.bus.listen(p.settings.self.controlAddress, [&p](const envelope& message) { p.router.route(message); });
     if (!listening)
@@ -120,6 +139,7 @@
     p.admin = std::make_unique<admin_server>(std::move(*tokens), std::move(registry));
     p.config
         = std::make_unique<config_poll>(p.settings, [&p](const configuration_ptr& current) { p.holder.set(current); });
+    p.moves.start();
     const auto started = p.admin->start(p.settings.control.adminAddress);
     if (!started)
         return started;
@@ -131,6 +151,7 @@
 {
     auto& p = *m_parts;
     p.admin->stop(adminStopPatience);
+    p.moves.stop();
     p.config.reset();
     p.bus.stop();
     event_line(log_level::info, "control.stopped");
--- a/src/flamingoroute/runtime/entry_node.cpp
+++ b/src/flamingoroute/runtime/entry_node.cpp
@@ -14,6 +14,7 @@
 #include "flamingoroute/runtime/message_router.hpp"
 #include "flamingoroute/runtime/request_guards.hpp"
 #include "flamingoroute/runtime/steering_duty.hpp"
+#include "flamingoroute/runtime/version_duty.hpp"
 #include "flamingoroute/steering/lookup_table.hpp"
 #include "flamingoroute/steering/upstream_pool.hpp"
 #include "flamingoroute/store/http_object_store.hpp"
@@ -66,6 +67,7 @@
         , pool(identityOf(settings.self, own), senderTo(directory, bus))
         , steering(pool, store, settings.self, own, [this] { return directory.all(); })
         , guards(settings, own, directory, bus)
+        , versions(move_settings {}, versionHooks())
         , pipeline(pipelineHooks())
         , callers(settings.entry, settings.self.instance.value() + "-" + std::to_string(own) + "-", serverHooks())
     {
@@ -77,6 +79,7 @@
     }
 
     pipeline_hooks pipelineHooks();
+    version_duty_hooks versionHooks();
     caller_server_hooks serverHooks();
     void adopt(const configuration_ptr& current);
     void rebuildLookups();
@@ -95,6 +98,7 @@
     upstream_client client;
     std::atomic<lookup_table_ptr> lookups;
     request_guards guards;
+    version_duty versions;
     request_pipeline pipeline;
     caller_server callers;
     std::unique_ptr<config_poll> config;
@@ -108,7 +112,11 @@
     hooks.currentConfiguration = [this] { return holder.get(); };
     hooks.authenticate = [this](const std::string& key) { return keys.authenticate(key); };
     hooks.admit = [](const customer_id&, monotonic_time) { return tl::expected<void, refusal> {}; };
-    hooks.chooseVersion = [](const service& wanted, const route&) { return wanted.currentVersion; };
+    hooks.chooseVersion = [this](const service& wanted, const route& way) { return versions.choose(wanted, way); };
+    hooks.chooseRetryVersion
+        = [this](const service& wanted, const route& way) { return versions.chooseForRetry(wanted, way); };
+    hooks.observeAttempt = [this](const service& wanted, const route& way, const version_id& version,
+                               const attempt_result& result) { versions.observe(wanted, way, version, result); };
     hooks.acquireUpstream = [this](const upstream_wish& wish) { return pool.acquire(wish); };
     hooks.releaseUpstream = [this](const auto& chosen, const auto& result) { pool.release(chosen, result); };
     hooks.attempt = [this](const auto& target, const auto& request, auto deadline) {
@@ -119,6 +127,15 @@
     return hooks;
 }
 
+version_duty_hooks entry_node::parts::versionHooks()
+{
+    version_duty_hooks hooks;
+    hooks.currentConfiguration = [this] { return holder.get(); };
+    hooks.members = [this] { return directory.ids(); };
+    hooks.send = senderTo(directory, bus);
+    return hooks;
+}
+
 caller_server_hooks entry_node::parts::serverHooks()
 {
     caller_server_hooks hooks;
@@ -178,7 +195,9 @@
         return tl::unexpected(pepper.error());
     p.keys.setPepper(*pepper);
     p.guards.listenTo(p.router);
+    p.versions.registerWith(p.router);
     p.guards.start();
+    p.versions.start();
     const auto listening
         = p.bus.listen(p.settings.self.entryAddress, [&p](const envelope& message) { p.router.route(message); });
     if (!listening)
@@ -207,6 +226,7 @@
         std::this_thread::sleep_for(stopPoll);
     p.callers.stop(std::chrono::duration_cast<milliseconds>(giveUpAt - monotonicNow()));
     p.guards.stop();
+    p.versions.stop();
     p.config.reset();
     p.steering.stop();
     p.bus.stop();
--- a/src/flamingoroute/runtime/member_directory.cpp
+++ b/src/flamingoroute/runtime/member_directory.cpp
@@ -35,4 +35,14 @@
     return result;
 }
 
+std::vector<instance_id> member_directory::ids() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<instance_id> result;
+    result.reserve(m_members.size());
+    for (const auto& [instance, known] : m_members)
+        result.push_back(instance);
+    return result;
+}
+
 } // namespace flamingoroute
--- a/src/flamingoroute/runtime/member_directory.hpp
+++ b/src/flamingoroute/runtime/member_directory.hpp
@@ -26,6 +26,9 @@
     /// @return all known instances, sorted by id
     std::vector<member> all() const;
 
+    /// @return the names of all known instances, sorted
+    std::vector<instance_id> ids() const;
+
 private:
     mutable std::mutex m_mutex;
     std::map<instance_id, member> m_members;
--- /dev/null
+++ b/src/flamingoroute/runtime/move_candidates.hpp
@@ -0,0 +1,20 @@
+#ifndef FLAMINGOROUTE_RUNTIME_MOVE_CANDIDATES_HPP
+#define FLAMINGOROUTE_RUNTIME_MOVE_CANDIDATES_HPP
+
+#include "flamingoroute/model/ids.hpp"
+
+#include <cstddef>
+#include <vector>
+
+namespace flamingoroute {
+
+/// Instances that seek the lease of a move; entries report to these. Correctness does not depend on who they are.
+constexpr std::size_t moveLeaderCount = 2;
+
+/// Ranks instances for a move by rendezvous hashing, so that all who know the same instances agree.
+/// @return the first @p count of @p members, best first
+std::vector<instance_id> moveCandidates(const move_id& move, std::vector<instance_id> members, std::size_t count);
+
+} // namespace flamingoroute
+
+#endif
--- a/tests/unit/moves/move_leader_test.cpp
+++ b/tests/unit/moves/move_leader_test.cpp
@@ -122,7 +122,7 @@
     world.report(first, reportOf(10, 1));
     const auto actions = world.tick();
     EXPECT_TRUE(actions.publish.empty());
-    EXPECT_TRUE(actions.stopNotices.empty());
+    EXPECT_FALSE(actions.notices.at(0).isStopped);
 }
 
 TEST(move_leader, ignores_an_older_incarnation)
@@ -143,7 +143,7 @@
     const auto actions = world.tick();
     EXPECT_EQ(actions.publish.at(0).phase, move_phase::undone);
     EXPECT_EQ(actions.publish.at(0).reason, "at b: fails");
-    EXPECT_TRUE(actions.stopNotices.at(0).isStopped);
+    EXPECT_TRUE(actions.notices.at(0).isStopped);
 }
 
 TEST(move_follower, stops_a_failing_version_by_itself_and_says_so)
@@ -151,7 +151,7 @@
     const auto current = runningConfiguration(10, 5);
     move_follower follower(settings);
     monotonic_time now { seconds { 1 } };
-    const move_follower::view at { now, startMs + 1000, true };
+    const move_follower::view at { now, startMs + 1000 };
     follower.adopt(current, at);
     EXPECT_EQ(follower.splits(at).at(0).percent, 10);
     observed_attempt failed { service_id("mostrador"), "tickets", version_id("v2"), true, microseconds { 100 } };
@@ -168,13 +168,13 @@
 {
     auto current = runningConfiguration(10, 5);
     move_follower follower(settings);
-    const move_follower::view at { monotonic_time { seconds { 1 } }, startMs + 1000, true };
+    const move_follower::view at { monotonic_time { seconds { 1 } }, startMs + 1000 };
     follower.adopt(current, at);
     move_observation notice;
     notice.move = "to-v2";
     notice.startAtUnixMs = startMs;
     notice.isStopped = true;
-    EXPECT_TRUE(follower.noteStop(notice));
+    EXPECT_TRUE(follower.noteLeader(notice, at.now));
     current.moves[0].steppedAtUnixMs += 1;
     follower.adopt(current, at);
     EXPECT_EQ(follower.splits(at).at(0).percent, 0);
@@ -183,6 +183,26 @@
     EXPECT_EQ(follower.splits(at).at(0).percent, 10);
 }
 
+TEST(move_follower, falls_back_to_the_safe_share_when_no_leader_confirms_the_step)
+{
+    const auto current = runningConfiguration(10, 5);
+    move_follower follower(settings);
+    move_follower::view at { monotonic_time { seconds { 1 } }, startMs + 1000 };
+    follower.adopt(current, at);
+    move_observation notice;
+    notice.move = "to-v2";
+    notice.startAtUnixMs = startMs;
+    notice.steppedAtUnixMs = startMs + 1;
+    at.now += settings.staleAfter - milliseconds { 1 };
+    follower.noteLeader(notice, at.now);
+    at.now += settings.staleAfter - milliseconds { 1 };
+    EXPECT_EQ(follower.splits(at).at(0).percent, 10);
+    notice.steppedAtUnixMs = startMs;
+    follower.noteLeader(notice, at.now);
+    at.now += milliseconds { 1 };
+    EXPECT_EQ(follower.splits(at).at(0).percent, 5);
+}
+
 TEST(move_observation, survives_packing)
 {
     auto report = reportOf(7, 1);
