--- a/src/flamingoroute/runtime/entry_node.cpp
+++ b/src/flamingoroute/runtime/entry_node.cpp
@@ -15,8 +15,11 @@
 #include "flamingoroute/runtime/lookup_json.hpp"
 #include "flamingoroute/runtime/member_directory.hpp"
 #include "flamingoroute/runtime/message_router.hpp"
+#include "flamingoroute/runtime/request_guards.hpp"
+#include "flamingoroute/runtime/steering_duty.hpp"
 #include "flamingoroute/steering/lookup_table.hpp"
 #include "flamingoroute/steering/upstream_pool.hpp"
+#include "flamingoroute/store/http_object_store.hpp"
 
 #include <atomic>
 #include <mutex>
@@ -26,7 +29,8 @@
 
 namespace {
 
-constexpr milliseconds stopPoll { 20 };
+constexpr milliseconds leavingSpreadTime { 1500 }; ///< until all instances know of a planned stop
+constexpr milliseconds idleCallerTime { 500 }; ///< for callers to hear that their connection closes
 
 steering_identity identityOf(const member& self, incarnation own)
 {
@@ -40,6 +44,22 @@
     return settings;
 }
 
+http_object_store_settings storeSettings(const instance_settings& settings)
+{
+    http_object_store_settings result;
+    result.platform = settings.platformAddress;
+    result.client = settings.self.instance.value() + "/" + settings.self.failureDomain.value();
+    return result;
+}
+
+message_sender senderTo(const member_directory& directory, peer_bus& bus)
+{
+    return [&directory, &bus](const instance_id& to, process_role role, message_kind kind, std::string body) {
+        if (const auto address = directory.addressOf(to, role))
+            bus.send(*address, kind, std::move(body));
+    };
+}
+
 } // namespace
 
 struct entry_node::parts {
@@ -47,13 +67,18 @@
         : settings(std::move(given))
         , own(newIncarnation())
         , bus(settings.self.instance, process_role::entry, own)
-        , pool(identityOf(settings.self, own))
+        , store(storeSettings(settings))
+        , pool(identityOf(settings.self, own), senderTo(directory, bus))
+        , steering(pool, store, settings.self, own, [this] { return directory.all(); })
+        , guards(settings, own, directory, bus)
         , pipeline(pipelineHooks())
         , callers(settings.entry, settings.self.instance.value() + "-" + std::to_string(own) + "-", serverHooks())
     {
         directory.put(settings.self);
         for (const auto& peer : settings.peers)
             directory.put(peer);
+        for (const auto kind : { message_kind::slot_request, message_kind::slot_grant })
+            router.on(kind, [this](const envelope& message) { steering.post(message); });
     }
 
     pipeline_hooks pipelineHooks();
@@ -73,11 +98,14 @@
     configuration_holder holder;
     incarnation_filter filter; ///< for the bus's thread only
     std::unique_ptr<key_authenticator> keys;
+    http_object_store store;
     upstream_pool pool;
+    steering_duty steering;
     upstream_client client;
     std::mutex lookupsMutex;
     std::vector<member> liveMembers;
     std::atomic<lookup_table_ptr> lookups;
+    request_guards guards;
     request_pipeline pipeline;
     caller_server callers;
     std::unique_ptr<config_spread> config;
@@ -97,10 +125,7 @@
     hooks.attempt = [this](const auto& target, const auto& request, auto deadline) {
         return client.attempt(target, request, deadline);
     };
-    hooks.claim = [](const auto&, const auto&, const auto&, auto) { return claim_decision { true, {}, {} }; };
-    hooks.settleClaim = [](const auto&, const auto&, auto, const auto&) {};
-    hooks.checkQuarantine = [](const auto&, const auto&, const auto&) { return std::optional<refusal> {}; };
-    hooks.noteBrokenAttempt = [](const auto&, const auto&, const auto&, const auto&) {};
+    guards.addTo(hooks);
     hooks.observe = [](const request_record&) {};
     return hooks;
 }
@@ -204,12 +229,15 @@
         p.settings.self, process_role::entry, p.own, p.settings.peers, p.directory, p.bus, nullptr, p.spreadHooks());
     p.config->registerWith(p.router);
     p.router.on(message_kind::key_withdrawal, [&p](const envelope& message) { p.takeWithdrawal(message); });
+    p.guards.listenTo(p.router);
+    p.guards.start();
     const auto listening = p.bus.listen(p.settings.self.entryAddress, [&p](const envelope& message) {
         if (p.filter.accept(message))
             p.router.route(message);
     });
     if (!listening)
         return listening;
+    p.steering.start();
     p.config->start();
     const auto started = p.callers.start(p.settings.self.callerAddress);
     if (!started)
@@ -226,13 +254,13 @@
     event_line(log_level::info, "entry.stopping").with("active", p.callers.activeCount());
     p.isLeaving = true;
     p.rebuildLookups();
-    std::this_thread::sleep_for(p.settings.entry.lookupTtl);
+    std::this_thread::sleep_for(p.settings.entry.lookupTtl + leavingSpreadTime);
     p.callers.startDraining();
-    const auto giveUpAt = monotonicNow() + p.settings.entry.stopTimeout;
-    while (p.callers.activeCount() > 0 && monotonicNow() < giveUpAt)
-        std::this_thread::sleep_for(stopPoll);
-    p.callers.stop(std::chrono::duration_cast<milliseconds>(giveUpAt - monotonicNow()));
+    std::this_thread::sleep_for(idleCallerTime);
+    p.callers.stop(p.settings.entry.stopTimeout);
+    p.guards.stop();
     p.config->stop();
+    p.steering.stop();
     p.bus.stop();
     event_line(log_level::info, "entry.stopped");
 }
