Lose the answer of the commit itself in its two proofs

The scenario and the integration test lost the answers of the chunks that are written first; those were tried again and used the losses up, so the commit's answer came through and both tests passed with the read-back switched off. The stand-in now loses answers by kind of object. With the read-back off both fail (outcome_unknown, 504); with it they pass.

--- a/stand_ins/platform_stand_in/fault_switch.cpp
+++ b/stand_ins/platform_stand_in/fault_switch.cpp
@@ -10,6 +10,7 @@
     m_isDown = wish->optValue("down", m_isDown);
     m_delay = milliseconds(wish->optValue<std::int64_t>("slow_ms", m_delay.count()));
     m_lostAnswers = wish->optValue("lose_answers", m_lostAnswers);
+    m_lostAnswersKind = wish->optValue<std::string>("lose_answers_kind", m_lostAnswersKind);
     if (!wish->has("cut"))
         return;
     m_cut.clear();
@@ -33,10 +34,10 @@
     return m_delay;
 }
 
-bool fault_switch::takeLostAnswer()
+bool fault_switch::takeLostAnswer(const std::string& kind)
 {
     const std::lock_guard lock(m_mutex);
-    if (m_lostAnswers <= 0)
+    if (m_lostAnswers <= 0 || (!m_lostAnswersKind.empty() && kind != m_lostAnswersKind))
         return false;
     --m_lostAnswers;
     return true;
--- a/stand_ins/platform_stand_in/fault_switch.hpp
+++ b/stand_ins/platform_stand_in/fault_switch.hpp
@@ -14,7 +14,8 @@
 /// The faults that a test has asked for.
 class fault_switch {
 public:
-    /// Takes over the fields that are given: down, slow_ms, lose_answers, cut.
+    /// Takes over the fields that are given: down, slow_ms, lose_answers, lose_answers_kind (of objects; empty: any),
+    /// cut.
     void apply(const Poco::JSON::Object::Ptr& wish);
 
     /// @param client the value of the Platform-Client header: "instance/failure domain"
@@ -24,14 +25,16 @@
     /// @return how long each call is held up
     milliseconds delay() const;
 
+    /// @param kind of the object that was written
     /// @return whether the answer of this write shall be lost; counts down
-    bool takeLostAnswer();
+    bool takeLostAnswer(const std::string& kind);
 
 private:
     mutable std::mutex m_mutex;
     bool m_isDown = false;
     milliseconds m_delay { 0 };
     int m_lostAnswers = 0;
+    std::string m_lostAnswersKind;
     std::set<std::string> m_cut;
 };
 
--- a/stand_ins/platform_stand_in/platform_handler.cpp
+++ b/stand_ins/platform_stand_in/platform_handler.cpp
@@ -182,7 +182,7 @@
     }
     const auto done = request.getMethod() == "PUT" ? m_platform.objects.put(path[2], path[3], value, expected)
                                                    : m_platform.objects.remove(path[2], path[3], expected.value_or(0));
-    if (m_platform.faults.takeLostAnswer()) {
+    if (m_platform.faults.takeLostAnswer(path[2])) {
         hangUp(request);
         return;
     }
--- a/tests/integration/config_test.cpp
+++ b/tests/integration/config_test.cpp
@@ -95,7 +95,7 @@
 {
     fleet system;
     ASSERT_EQ(system.publishAndWait(), "");
-    system.setPlatformFaults("{\"lose_answers\": 3}");
+    system.setPlatformFaults("{\"lose_answers\": 1, \"lose_answers_kind\": \"config_head\"}");
     const auto reply = system.putObjects("i1", newService("second"));
     EXPECT_EQ(reply.status, 200) << reply.body;
     expectEverywhere(system, "second");
--- a/tests/scenarios/config_world.cpp
+++ b/tests/scenarios/config_world.cpp
@@ -23,7 +23,7 @@
 ///     instances N in M domains
 ///     put key NAME | put customer NAME | withdraw key NAME     publishes one change
 ///     race A B                                                  two writers publish on the same revision
-///     platform down|up | platform loses N answers
+///     platform down|up | platform loses commit answer
 ///     dump platform | restore platform
 ///     cut DOMAIN from platform|peers | heal
 ///     sleep|wake|restart|remember|rollback INSTANCE
@@ -113,14 +113,24 @@
     outcome platform(const words& line)
     {
         if (line.size() == 4 && line[1] == "loses")
-            m_fleet.store.lostAnswers = std::stoi(line[2]);
+            loseNextCommitAnswer();
         else if (line.size() == 2)
             m_fleet.store.isDown = line[1] == "down";
         else
-            return fail(line.back(), "must be: platform down, up or loses N answers");
+            return fail(line.back(), "must be: platform down, up or loses commit answer");
         return {};
     }
 
+    void loseNextCommitAnswer()
+    {
+        m_fleet.store.beforeWrite = [this](const std::string& kind) {
+            if (kind == configHeadKind)
+                m_fleet.store.lostAnswers = 1;
+            else
+                loseNextCommitAnswer();
+        };
+    }
+
     outcome network(const words& line)
     {
         const std::string& verb = line[0];
