--- a/src/flamingoroute/runtime/control_node.cpp
+++ b/src/flamingoroute/runtime/control_node.cpp
@@ -5,10 +5,12 @@
 #include "flamingoroute/admin/commands/key_commands.hpp"
 #include "flamingoroute/admin/commands/move_commands.hpp"
 #include "flamingoroute/admin/queries/configuration_queries.hpp"
+#include "flamingoroute/admin/queries/status_query.hpp"
 #include "flamingoroute/config/config_publisher.hpp"
 #include "flamingoroute/keys/key_hasher.hpp"
 #include "flamingoroute/keys/key_secret.hpp"
 #include "flamingoroute/keys/withdrawals.hpp"
+#include "flamingoroute/moves/move_progress.hpp"
 #include "flamingoroute/peers/incarnation_filter.hpp"
 #include "flamingoroute/peers/message_body.hpp"
 #include "flamingoroute/peers/peer_bus.hpp"
@@ -17,8 +19,10 @@
 #include "flamingoroute/runtime/incarnation_clock.hpp"
 #include "flamingoroute/runtime/member_directory.hpp"
 #include "flamingoroute/runtime/message_router.hpp"
+#include "flamingoroute/runtime/moves_duty.hpp"
 #include "flamingoroute/settings/json_document.hpp"
 #include "flamingoroute/store/http_object_store.hpp"
+#include "flamingoroute/store/lease_record.hpp"
 
 #include <mutex>
 
@@ -45,13 +49,18 @@
         , bus(settings.self.instance, process_role::control, own)
         , store(storeSettings(settings))
         , publisher(store, settings.self.instance.value() + "/" + std::to_string(own))
+        , moves(move_settings {}, settings.self.instance, own, store, movesHooks())
     {
         directory.put(settings.self);
         for (const auto& peer : settings.peers)
             directory.put(peer);
+        publisher.setMerger(withProgress);
     }
 
     configuration_access access();
+    status_access status();
+    tl::expected<std::vector<lease_status>, error> leases();
+    moves_duty_hooks movesHooks();
     key_hooks keys(const std::string& pepper) const;
     void floodWithdrawals(const configuration_ptr& before, const configuration& after, revision number) const;
 
@@ -65,9 +74,22 @@
     std::mutex publisherMutex;
     config_publisher publisher;
     std::unique_ptr<config_spread> config;
+    moves_duty moves;
     std::unique_ptr<admin_server> admin;
 };
 
+moves_duty_hooks control_node::parts::movesHooks()
+{
+    moves_duty_hooks hooks;
+    hooks.currentConfiguration = [this] { return config ? config->current() : nullptr; };
+    hooks.members = [this] { return directory.ids(); };
+    hooks.send = [this](const instance_id& to, process_role role, message_kind kind, std::string body) {
+        if (const auto address = directory.addressOf(to, role))
+            bus.send(*address, kind, std::move(body));
+    };
+    return hooks;
+}
+
 configuration_access control_node::parts::access()
 {
     configuration_access result;
@@ -105,6 +127,30 @@
     }
 }
 
+status_access control_node::parts::status()
+{
+    status_access result;
+    result.revisionInForce = [this] { return config->position().number; };
+    result.members = [this] { return config->members(); };
+    result.leases = [this] { return leases(); };
+    return result;
+}
+
+tl::expected<std::vector<lease_status>, error> control_node::parts::leases()
+{
+    const auto stored = store.list(leaseKind);
+    if (!stored)
+        return tl::unexpected(stored.error());
+    std::vector<lease_status> result;
+    for (const auto& object : *stored) {
+        const auto record = parseLease(object.value);
+        if (record)
+            result.push_back(
+                { object.name, record->isReleased ? "" : record->holder, epochOf(*record, object.version) });
+    }
+    return result;
+}
+
 key_hooks control_node::parts::keys(const std::string& pepper) const
 {
     key_hooks hooks;
@@ -139,6 +185,7 @@
     p.config = std::make_unique<config_spread>(
         p.settings.self, process_role::control, p.own, p.settings.peers, p.directory, p.bus, &p.store, hooks);
     p.config->registerWith(p.router);
+    p.moves.registerWith(p.router);
     const auto listening = p.bus.listen(p.settings.self.controlAddress, [&p](const envelope& message) {
         if (p.filter.accept(message))
             p.router.route(message);
@@ -150,8 +197,10 @@
     addKeyCommands(registry, p.access(), p.keys(*pepper));
     addMoveCommands(registry, p.access());
     addConfigurationQueries(registry, p.access());
+    addStatusQuery(registry, p.status());
     p.admin = std::make_unique<admin_server>(std::move(*tokens), std::move(registry));
     p.config->start();
+    p.moves.start();
     const auto started = p.admin->start(p.settings.control.adminAddress);
     if (!started)
         return started;
@@ -163,6 +212,7 @@
 {
     auto& p = *m_parts;
     p.admin->stop(adminStopPatience);
+    p.moves.stop();
     p.config->stop();
     p.bus.stop();
     event_line(log_level::info, "control.stopped");
--- a/src/flamingoroute/runtime/entry_node.cpp
+++ b/src/flamingoroute/runtime/entry_node.cpp
@@ -17,6 +17,7 @@
 #include "flamingoroute/runtime/message_router.hpp"
 #include "flamingoroute/runtime/request_guards.hpp"
 #include "flamingoroute/runtime/steering_duty.hpp"
+#include "flamingoroute/runtime/version_duty.hpp"
 #include "flamingoroute/steering/lookup_table.hpp"
 #include "flamingoroute/steering/upstream_pool.hpp"
 #include "flamingoroute/store/http_object_store.hpp"
@@ -71,6 +72,7 @@
         , pool(identityOf(settings.self, own), senderTo(directory, bus))
         , steering(pool, store, settings.self, own, [this] { return directory.all(); })
         , guards(settings, own, directory, bus)
+        , versions(move_settings {}, versionHooks())
         , pipeline(pipelineHooks())
         , callers(settings.entry, settings.self.instance.value() + "-" + std::to_string(own) + "-", serverHooks())
     {
@@ -82,6 +84,7 @@
     }
 
     pipeline_hooks pipelineHooks();
+    version_duty_hooks versionHooks();
     caller_server_hooks serverHooks();
     config_spread_hooks spreadHooks();
     void adopt(const configuration_ptr& current);
@@ -96,9 +99,9 @@
     message_router router;
     peer_bus bus;
     configuration_holder holder;
+    http_object_store store;
     incarnation_filter filter; ///< for the bus's thread only
     std::unique_ptr<key_authenticator> keys;
-    http_object_store store;
     upstream_pool pool;
     steering_duty steering;
     upstream_client client;
@@ -106,6 +109,7 @@
     std::vector<member> liveMembers;
     std::atomic<lookup_table_ptr> lookups;
     request_guards guards;
+    version_duty versions;
     request_pipeline pipeline;
     caller_server callers;
     std::unique_ptr<config_spread> config;
@@ -119,7 +123,11 @@
     hooks.currentConfiguration = [this] { return holder.get(); };
     hooks.authenticate = [this](const std::string& key) { return keys->authenticate(key); };
     hooks.admit = [](const customer_id&, monotonic_time) { return tl::expected<void, refusal> {}; };
-    hooks.chooseVersion = [](const service& wanted, const route&) { return wanted.currentVersion; };
+    hooks.chooseVersion = [this](const service& wanted, const route& way) { return versions.choose(wanted, way); };
+    hooks.chooseRetryVersion
+        = [this](const service& wanted, const route& way) { return versions.chooseForRetry(wanted, way); };
+    hooks.observeAttempt = [this](const service& wanted, const route& way, const version_id& version,
+                               const attempt_result& result) { versions.observe(wanted, way, version, result); };
     hooks.acquireUpstream = [this](const upstream_wish& wish) { return pool.acquire(wish); };
     hooks.releaseUpstream = [this](const auto& chosen, const auto& result) { pool.release(chosen, result); };
     hooks.attempt = [this](const auto& target, const auto& request, auto deadline) {
@@ -130,6 +138,15 @@
     return hooks;
 }
 
+version_duty_hooks entry_node::parts::versionHooks()
+{
+    version_duty_hooks hooks;
+    hooks.currentConfiguration = [this] { return holder.get(); };
+    hooks.members = [this] { return directory.ids(); };
+    hooks.send = senderTo(directory, bus);
+    return hooks;
+}
+
 caller_server_hooks entry_node::parts::serverHooks()
 {
     caller_server_hooks hooks;
@@ -187,13 +204,16 @@
 
 void entry_node::parts::takeMembers(const std::vector<member_status>& members)
 {
+    std::vector<member> live;
+    for (const auto& known : members) {
+        if (known.state == member_state::live)
+            live.push_back(known.where);
+    }
     {
         const std::lock_guard lock(lookupsMutex);
-        liveMembers.clear();
-        for (const auto& known : members) {
-            if (known.state == member_state::live)
-                liveMembers.push_back(known.where);
-        }
+        if (live == liveMembers)
+            return;
+        liveMembers = std::move(live);
     }
     rebuildLookups();
 }
@@ -230,7 +250,9 @@
     p.config->registerWith(p.router);
     p.router.on(message_kind::key_withdrawal, [&p](const envelope& message) { p.takeWithdrawal(message); });
     p.guards.listenTo(p.router);
+    p.versions.registerWith(p.router);
     p.guards.start();
+    p.versions.start();
     const auto listening = p.bus.listen(p.settings.self.entryAddress, [&p](const envelope& message) {
         if (p.filter.accept(message))
             p.router.route(message);
@@ -259,6 +281,7 @@
     std::this_thread::sleep_for(idleCallerTime);
     p.callers.stop(p.settings.entry.stopTimeout);
     p.guards.stop();
+    p.versions.stop();
     p.config->stop();
     p.steering.stop();
     p.bus.stop();
