--- a/src/flamingoroute/runtime/steering_duty.cpp
+++ b/src/flamingoroute/runtime/steering_duty.cpp
@@ -79,7 +79,7 @@
         m_pool.beginAllocating(role);
     };
     hooks.end = [this] {
-        event_line(log_level::info, "steering.allocator-ended");
+        event_line(log_level::info, "steering.allocator-ended").with("domain", m_self.failureDomain.value());
         m_pool.endAllocating();
     };
     hooks.confirm = [this](monotonic_time askedAt) { m_pool.confirmLease(askedAt); };
--- a/src/flamingoroute/steering/slot_ledger.cpp
+++ b/src/flamingoroute/steering/slot_ledger.cpp
@@ -291,6 +291,7 @@
 void slot_ledger::fill(const std::vector<position*>& group, int position::*demand, int& left) const
 {
     std::vector<int> missing;
+    missing.reserve(group.size());
     for (const auto* held : group)
         missing.push_back(std::max(0, held->*demand - held->target));
     const auto first = group.empty() ? 0 : static_cast<std::size_t>(m_lastTurn) % group.size();
--- a/src/flamingoroute/steering/slot_ledger.hpp
+++ b/src/flamingoroute/steering/slot_ledger.hpp
@@ -71,6 +71,9 @@
     /// @return the grants to be sent now
     std::vector<slot_grant> takeGrants(monotonic_time now);
 
+    /// @return how long a request runs at most
+    milliseconds longestDeadline() const { return m_longestDeadline; }
+
     /// @return slots of @p target that are promised away or reserved; at most its slots
     int committed(const upstream_id& target) const;
 
--- a/tests/scenarios/steering_fleet.hpp
+++ b/tests/scenarios/steering_fleet.hpp
@@ -139,9 +139,9 @@
     microseconds tripTime(const region_id& one, const failure_domain_id& oneDomain, const region_id& other,
         const failure_domain_id& otherDomain) const;
     double random() { return std::uniform_real_distribution<double>(0, 1)(m_generator); }
-    monotonic_time time() const { return monotonic_time(m_start + m_now); }
+    monotonic_time time() const { return monotonic_time(startOfTime + m_now); }
 
-    static constexpr microseconds m_start { 1'000'000'000 };
+    static constexpr microseconds startOfTime { 1'000'000'000 };
     fleet_layout m_layout;
     std::mt19937_64 m_generator;
     microseconds m_now { 0 };
