--- a/src/flamingoroute/limits/allocator.cpp
+++ b/src/flamingoroute/limits/allocator.cpp
@@ -107,6 +107,7 @@
         state.isReadWanted = true;
     if (isHolder(state) && usage.poolEpoch == state.table->epoch) {
         state.confirmedPoolVersion = usage.poolVersion;
+        state.isFresh = false;
         state.poolInUse = usage.pool;
     }
 }
@@ -286,11 +287,6 @@
     allocation_table next = *state.table;
     next.version = state.table->version + 1;
     next.epoch = next.version;
-    const auto limit = m_limits.find(state.customer);
-    if (limit != m_limits.end() && m_limitRevision > next.limitRevision) {
-        next.limit = { limit->second.perSecond, limit->second.burst };
-        next.limitRevision = m_limitRevision;
-    }
     next.pool = {};
     const share floors = reservedTotal(next);
     const share rest { std::max(0.0, next.limit.perSecond - floors.perSecond),
@@ -315,6 +311,7 @@
     first.pool = { m_self, m_ownEntryIncarnation, first.limit, first.limit, 1 };
     first.successor = chooseSuccessor(now);
     write(now, state, std::move(first));
+    state.isWritingFresh = true;
 }
 
 void allocator::tickHolder(monotonic_time now, customer_allocation& state)
@@ -443,7 +440,7 @@
     const auto validUntil = std::min(until, now + m_settings.promiseHold);
     state.leasedUntil = std::max(state.leasedUntil, validUntil);
     pool_lease lease { state.customer.value(), state.table->epoch, state.table->version, pool.holderIncarnation,
-        pool.target, validUntil.time_since_epoch().count() };
+        pool.target, state.isFresh, validUntil.time_since_epoch().count() };
     m_messages.push_back({ m_self, process_role::entry, lease });
 }
 
@@ -475,6 +472,7 @@
     next.writer = m_self.value() + "/" + std::to_string(m_incarnation);
     next.writeNumber = ++m_writeNumber;
     state.isCallOpen = true;
+    state.isWritingFresh = false;
     state.callBegan = now;
     state.writing = next;
     state.writingOver = state.storedVersion;
@@ -498,6 +496,7 @@
     const bool isOwnWrite
         = state.writing && state.writing->writer == table.writer && state.writing->writeNumber == table.writeNumber;
     const bool isNewEpoch = !state.table || state.table->epoch != table.epoch;
+    state.isFresh = isNewEpoch ? isOwnWrite && state.isWritingFresh : state.isFresh;
     state.table = table;
     state.storedVersion = version;
     state.seenSince = now;
--- a/src/flamingoroute/limits/internal/customer_allocation.hpp
+++ b/src/flamingoroute/limits/internal/customer_allocation.hpp
@@ -42,6 +42,8 @@
     std::uint64_t confirmedPoolEpoch = 0;
     share poolInUse;
     monotonic_time rightFrom; ///< the pool must not run before then
+    bool isWritingFresh = false; ///< the table being written begins where nobody held tokens
+    bool isFresh = false; ///< the pool has not confirmed that it began so
     monotonic_time nextLease;
     monotonic_time leasedUntil; ///< the entry process may keep the pool until then
     monotonic_time nextPlan;
--- a/src/flamingoroute/limits/internal/grant_pool.cpp
+++ b/src/flamingoroute/limits/internal/grant_pool.cpp
@@ -8,21 +8,36 @@
 {
     if (lease.epoch < m_epoch || (lease.epoch == m_epoch && lease.tableVersion < m_tableVersion))
         return;
-    if (lease.epoch > m_epoch) {
+    const bool isNew = lease.epoch > m_epoch;
+    if (isNew) {
         m_requesters.clear();
         m_orphans.clear();
         m_lastNumber = static_cast<std::uint64_t>(now.time_since_epoch().count());
-        m_bucket = token_bucket {};
-        m_bucket.restart(now + m_settings.grantLife + m_settings.clockDrift);
         m_epoch = lease.epoch;
     }
-    expire(now);
+    if (!isNew)
+        expire(now);
     m_customer = lease.customer;
     m_tableVersion = lease.tableVersion;
     m_validUntil = monotonic_time(microseconds(lease.validUntilMicroseconds));
+    if (isNew) {
+        m_bucket = newBucket(now, lease);
+        m_frozenUntil = lease.isFresh ? now : now + m_settings.grantLife + m_settings.clockDrift;
+        m_frozenDepth = lease.pool.depth;
+    }
     m_bucket.setShare(now, lease.pool, outstanding());
 }
 
+token_bucket grant_pool::newBucket(monotonic_time now, const pool_lease& lease) const
+{
+    token_bucket bucket;
+    bucket.setShare(now, lease.pool);
+    bucket.restart(lease.isFresh ? now : now + m_settings.grantLife + m_settings.clockDrift);
+    if (lease.isFresh)
+        bucket.putBack(lease.pool.depth);
+    return bucket;
+}
+
 void grant_pool::onRequest(monotonic_time now, const instance_id& from, const share_request& request)
 {
     if (request.epoch != m_epoch)
@@ -165,7 +180,8 @@
 {
     expire(now);
     share inUse = m_bucket.currentShare();
-    inUse.depth = std::max(inUse.depth, outstanding());
+    const int earlier = now < m_frozenUntil ? m_frozenDepth : 0;
+    inUse.depth = std::max({ inUse.depth, outstanding(), earlier });
     return inUse;
 }
 
--- a/src/flamingoroute/limits/internal/grant_pool.hpp
+++ b/src/flamingoroute/limits/internal/grant_pool.hpp
@@ -24,7 +24,8 @@
     {
     }
 
-    /// Follows a lease. A higher epoch starts empty and lets the grants of the holder before expire first.
+    /// Follows a lease. A higher epoch lets the grants of the holder before expire and starts
+    /// empty, unless nobody held tokens before.
     void follow(monotonic_time now, const pool_lease& lease);
 
     /// Notes what a requester needs and what became of its grants.
@@ -43,7 +44,8 @@
     std::uint64_t epoch() const { return m_epoch; }
     std::uint64_t tableVersion() const { return m_tableVersion; }
 
-    /// @return the share in use: a depth that was lowered counts until what is outstanding fits
+    /// @return the share in use: a depth that was lowered counts until what is outstanding fits,
+    /// grants of the epoch before included
     share shareInUse(monotonic_time now);
 
     /// @return time until a token will be minted
@@ -66,6 +68,7 @@
         std::deque<open_grant> grants;
     };
 
+    token_bucket newBucket(monotonic_time now, const pool_lease& lease) const;
     void expire(monotonic_time now);
     void settle(requester& from, const share_request& request);
     int unmetWaiting(const requester& from, monotonic_time now) const;
@@ -78,6 +81,8 @@
     std::uint64_t m_epoch = 0;
     std::uint64_t m_tableVersion = 0;
     monotonic_time m_validUntil;
+    monotonic_time m_frozenUntil; ///< grants of the epoch before are out until then
+    int m_frozenDepth = 0; ///< tokens that these may be
     std::string m_customer;
     std::uint64_t m_lastNumber = 0; ///< of all requesters, so that no number comes twice under an epoch
     std::map<instance_id, requester> m_requesters;
--- a/src/flamingoroute/limits/limit_settings.hpp
+++ b/src/flamingoroute/limits/limit_settings.hpp
@@ -13,6 +13,7 @@
     milliseconds grantFlight { 150 }; ///< a grant not seen to arrive by then is taken for lost
     milliseconds clockDrift { 50 }; ///< two clocks differ by at most this over any of the times here
     milliseconds maxWait { 250 }; ///< longest wait of a request for a token
+    milliseconds coldWait { 1000 }; ///< the same, while the pool is not yet known here
     std::size_t maxWaiting = 1000; ///< requests of one customer that wait at one instance
     milliseconds requestInterval { 20 }; ///< between two requests for tokens to one pool
     milliseconds settleInterval { 100 }; ///< between two reports of spent grants, if no tokens are needed
--- a/src/flamingoroute/limits/pool_lease.hpp
+++ b/src/flamingoroute/limits/pool_lease.hpp
@@ -17,10 +17,11 @@
     std::uint64_t tableVersion = 0;
     std::uint64_t holderIncarnation = 0; ///< void for any other incarnation of the entry process
     share pool;
+    bool isFresh = false; ///< nobody can have spent or hold tokens of an earlier epoch: starts full and at once
     std::int64_t validUntilMicroseconds = 0; ///< on this machine's monotonic clock
 
     bool operator==(const pool_lease&) const = default;
-    MSGPACK_DEFINE(customer, epoch, tableVersion, holderIncarnation, pool, validUntilMicroseconds)
+    MSGPACK_DEFINE(customer, epoch, tableVersion, holderIncarnation, pool, isFresh, validUntilMicroseconds)
 };
 
 } // namespace flamingoroute
--- /dev/null
+++ b/src/flamingoroute/limits/rate_limiter.cpp
@@ -0,0 +1,212 @@
+#include "flamingoroute/limits/rate_limiter.hpp"
+
+#include "flamingoroute/limits/lease_notice.hpp"
+#include "flamingoroute/limits/message_batches.hpp"
+#include "flamingoroute/peers/message_body.hpp"
+
+namespace flamingoroute {
+
+namespace {
+
+constexpr milliseconds helloInterval { 500 };
+/// A decision comes with a tick, so it may be that much later than the wait's end.
+constexpr milliseconds decisionSlack { 100 };
+
+} // namespace
+
+rate_limiter::rate_limiter(
+    instance_id self, incarnation selfIncarnation, const limit_settings& settings, message_sender send)
+    : m_self(std::move(self))
+    , m_incarnation(selfIncarnation)
+    , m_settings(settings)
+    , m_send(std::move(send))
+{
+}
+
+bool rate_limiter::isLimited(const customer_id& customer) const
+{
+    const std::shared_lock lock(m_mutex);
+    return m_limited.contains(customer);
+}
+
+rate_limiter::slot_ptr rate_limiter::findSlot(const customer_id& customer) const
+{
+    const std::shared_lock lock(m_mutex);
+    const auto found = m_slots.find(customer);
+    return found == m_slots.end() ? nullptr : found->second;
+}
+
+rate_limiter::slot_ptr rate_limiter::slotOf(const customer_id& customer)
+{
+    if (auto known = findSlot(customer))
+        return known;
+    const std::unique_lock lock(m_mutex);
+    auto& slot = m_slots[customer];
+    if (!slot)
+        slot = std::make_shared<customer_slot>(customer, m_self, m_incarnation, m_settings, monotonicNow());
+    return slot;
+}
+
+tl::expected<void, refusal> rate_limiter::admit(const customer_id& customer, monotonic_time deadline)
+{
+    if (!isLimited(customer))
+        return {};
+    const auto request = ++m_lastRequest;
+    const auto slot = slotOf(customer);
+    std::unique_lock lock(slot->mutex);
+    switch (slot->machine.ask(monotonicNow(), request, deadline)) {
+    case admission::admitted:
+        return {};
+    case admission::refused:
+        return tl::unexpected(overRate(*slot));
+    case admission::waiting:
+        break;
+    }
+    return await(*slot, lock, request, deadline);
+}
+
+tl::expected<void, refusal> rate_limiter::await(
+    customer_slot& slot, std::unique_lock<std::mutex>& lock, std::uint64_t request, monotonic_time deadline)
+{
+    slot.waiting.insert(request);
+    const auto messages = settle(slot);
+    lock.unlock();
+    sendBatches(messages, m_send);
+    lock.lock();
+    const auto until
+        = std::min<monotonic_time>(deadline, monotonicNow() + std::max(m_settings.maxWait, m_settings.coldWait))
+        + decisionSlack;
+    slot.decided.wait_until(lock, until, [&] { return slot.decisions.contains(request); });
+    slot.waiting.erase(request);
+    const auto decision = slot.decisions.extract(request);
+    if (decision.empty())
+        slot.machine.cancel(request);
+    if (!decision.empty() && decision.mapped())
+        return {};
+    return tl::unexpected(overRate(slot));
+}
+
+refusal rate_limiter::overRate(customer_slot& slot)
+{
+    refusal why;
+    why.reason = refusal_reason::over_rate;
+    why.execution = execution_state::not_run;
+    why.step = "limits.admit";
+    why.detail = "the customer's rate and burst are used up";
+    why.retryAfter = slot.machine.retryAfter(monotonicNow());
+    return why;
+}
+
+std::vector<limit_message> rate_limiter::settle(customer_slot& slot)
+{
+    for (const auto& decision : slot.machine.takeDecisions()) {
+        if (slot.waiting.contains(decision.request))
+            slot.decisions[decision.request] = decision.isAdmitted;
+    }
+    if (!slot.decisions.empty())
+        slot.decided.notify_all();
+    return slot.machine.takeMessages();
+}
+
+void rate_limiter::adopt(const configuration& current)
+{
+    const std::unique_lock lock(m_mutex);
+    m_limited.clear();
+    for (const auto& limit : current.rates)
+        m_limited.insert(limit.customer);
+}
+
+template <typename Use> void rate_limiter::useSlot(const slot_ptr& slot, Use use)
+{
+    std::vector<limit_message> messages;
+    {
+        const std::lock_guard lock(slot->mutex);
+        use(slot->machine);
+        messages = settle(*slot);
+    }
+    sendBatches(messages, m_send);
+}
+
+template <typename Body, typename Use> void rate_limiter::receiveAll(const envelope& message, Use use)
+{
+    const auto bodies = unpackBody<std::vector<Body>>(message.body);
+    if (!bodies)
+        return;
+    for (const auto& body : *bodies) {
+        if (const auto slot = findSlot(customer_id(body.customer)))
+            useSlot(slot, [&](share_machine& machine) { use(machine, body); });
+    }
+}
+
+void rate_limiter::followAssignment(const envelope& message, const share_assignment& assignment)
+{
+    if (const auto slot = findSlot(customer_id(assignment.customer))) {
+        useSlot(slot, [&](share_machine& machine) { machine.onAssignment(monotonicNow(), assignment); });
+    } else if (assignment.isFromAllocator) {
+        sendBatches(
+            { { message.from, process_role::control, reportWithoutShares(assignment, m_incarnation) } }, m_send);
+    }
+}
+
+void rate_limiter::receive(const envelope& message)
+{
+    if (message.kind == message_kind::share_request) {
+        receiveAll<share_request>(message, [&](share_machine& machine, const share_request& request) {
+            machine.onRequest(monotonicNow(), message.from, request);
+        });
+    } else if (message.kind == message_kind::share_grant) {
+        receiveAll<share_grant>(
+            message, [](share_machine& machine, const share_grant& grant) { machine.onGrant(monotonicNow(), grant); });
+    } else if (message.kind == message_kind::share_table) {
+        const auto assignments = unpackBody<std::vector<share_assignment>>(message.body);
+        for (const auto& assignment : assignments.value_or(std::vector<share_assignment> {}))
+            followAssignment(message, assignment);
+    } else if (message.kind == message_kind::lease_notice && message.from == m_self) {
+        const auto notice = unpackBody<lease_notice>(message.body).value_or(lease_notice {});
+        for (const auto& lease : notice.pools) {
+            useSlot(slotOf(customer_id(lease.customer)),
+                [&](share_machine& machine) { machine.onLease(monotonicNow(), lease); });
+        }
+    }
+}
+
+void rate_limiter::sayHello(std::vector<limit_message>& messages)
+{
+    if (monotonicNow() < m_nextHello)
+        return;
+    m_nextHello = monotonicNow() + helloInterval;
+    usage_report hello;
+    hello.senderIncarnation = m_incarnation;
+    messages.push_back({ m_self, process_role::control, hello });
+}
+
+void rate_limiter::tick()
+{
+    std::map<customer_id, slot_ptr> slots;
+    {
+        const std::shared_lock lock(m_mutex);
+        slots = m_slots;
+    }
+    std::vector<limit_message> messages;
+    sayHello(messages);
+    std::vector<customer_id> idle;
+    for (const auto& [customer, slot] : slots) {
+        const std::lock_guard lock(slot->mutex);
+        slot->machine.tick(monotonicNow());
+        for (auto& message : settle(*slot))
+            messages.push_back(std::move(message));
+        if (slot->waiting.empty() && slot->machine.isForgettable(monotonicNow()))
+            idle.push_back(customer);
+    }
+    sendBatches(messages, m_send);
+    slots.clear();
+    const std::unique_lock lock(m_mutex);
+    for (const auto& customer : idle) {
+        const auto found = m_slots.find(customer);
+        // Another thread may have taken the slot to ask; it is forgotten later then.
+        if (found != m_slots.end() && found->second.use_count() == 1)
+            m_slots.erase(found);
+    }
+}
+
+} // namespace flamingoroute
--- a/src/flamingoroute/limits/share_machine.cpp
+++ b/src/flamingoroute/limits/share_machine.cpp
@@ -40,13 +40,20 @@
         return admission::admitted;
     if (m_waiting.size() >= m_settings.maxWaiting || deadline <= now)
         return admission::refused;
-    m_waiting.push_back({ request, std::min(deadline, now + m_settings.maxWait) });
+    const bool isCold = m_poolInstance.empty() && !m_pool.isKnown();
+    const auto wait = isCold ? m_settings.coldWait : m_settings.maxWait;
+    m_waiting.push_back({ request, std::min(deadline, now + wait) });
     draw(now);
-    if (m_poolInstance.empty() && !m_pool.isKnown())
+    if (isCold)
         report(now);
     return admission::waiting;
 }
 
+void share_machine::cancel(std::uint64_t request)
+{
+    std::erase_if(m_waiting, [request](const waiting_request& waiting) { return waiting.id == request; });
+}
+
 bool share_machine::tryTakeFloor(monotonic_time now, int keep)
 {
     if (!isFloorValid(now))
@@ -65,15 +72,26 @@
     return tryTakeFloor(now, 0);
 }
 
+void share_machine::refuseLate(monotonic_time now)
+{
+    // Waits differ in length, so a later one may end first.
+    std::erase_if(m_waiting, [this, now](const waiting_request& waiting) {
+        const bool isLate = waiting.until <= now;
+        if (isLate)
+            m_decisions.push_back({ waiting.id, false });
+        return isLate;
+    });
+}
+
 void share_machine::serveWaiting(monotonic_time now)
 {
+    refuseLate(now);
     while (!m_waiting.empty()) {
         const auto first = m_waiting.front();
-        const bool isLate = first.until <= now;
-        if (!isLate && !tryTakeToken(now))
+        if (!tryTakeToken(now))
             return;
         m_waiting.pop_front();
-        m_decisions.push_back({ first.id, !isLate });
+        m_decisions.push_back({ first.id, true });
     }
 }
 
--- a/src/flamingoroute/limits/share_machine.hpp
+++ b/src/flamingoroute/limits/share_machine.hpp
@@ -34,6 +34,9 @@
     /// @param deadline it is refused if it has none by then
     admission ask(monotonic_time now, std::uint64_t request, monotonic_time deadline);
 
+    /// A waiting request is given up by its caller.
+    void cancel(std::uint64_t request);
+
     /// A pool's grant to this instance.
     void onGrant(monotonic_time now, const share_grant& grant);
 
@@ -78,6 +81,7 @@
     bool isFloorValid(monotonic_time now) const { return now < m_floorValidUntil; }
     bool tryTakeFloor(monotonic_time now, int keep);
     bool tryTakeToken(monotonic_time now);
+    void refuseLate(monotonic_time now);
     void serveWaiting(monotonic_time now);
     void servePool(monotonic_time now);
     void draw(monotonic_time now);
--- a/src/flamingoroute/runtime/control_node.cpp
+++ b/src/flamingoroute/runtime/control_node.cpp
@@ -14,6 +14,7 @@
 #include "flamingoroute/peers/message_body.hpp"
 #include "flamingoroute/peers/peer_bus.hpp"
 #include "flamingoroute/report/event_log.hpp"
+#include "flamingoroute/runtime/allocation_duty.hpp"
 #include "flamingoroute/runtime/config_spread.hpp"
 #include "flamingoroute/runtime/incarnation_clock.hpp"
 #include "flamingoroute/runtime/member_directory.hpp"
@@ -30,6 +31,14 @@
 
 constexpr milliseconds adminStopPatience { 1000 };
 
+message_sender senderTo(const member_directory& directory, peer_bus& bus)
+{
+    return [&directory, &bus](const instance_id& to, process_role role, message_kind kind, std::string body) {
+        if (const auto address = directory.addressOf(to, role))
+            bus.send(*address, kind, std::move(body));
+    };
+}
+
 http_object_store_settings storeSettings(const instance_settings& settings)
 {
     http_object_store_settings result;
@@ -47,6 +56,8 @@
         , bus(settings.self.instance, process_role::control, own)
         , store(storeSettings(settings))
         , publisher(store, settings.self.instance.value() + "/" + std::to_string(own))
+        , allocation(settings.self.instance, own, limit_settings {}, store, senderTo(directory, bus),
+              [this] { return directory.all(); })
     {
         directory.put(settings.self);
         for (const auto& peer : settings.peers)
@@ -68,6 +79,7 @@
     http_object_store store;
     std::mutex publisherMutex;
     config_publisher publisher;
+    allocation_duty allocation;
     std::unique_ptr<config_spread> config;
     std::unique_ptr<admin_server> admin;
 };
@@ -161,12 +173,15 @@
     if (!tokens)
         return tl::unexpected(tokens.error());
     config_spread_hooks hooks;
-    hooks.onAdopted = [](const configuration_ptr& current) {
+    hooks.onAdopted = [&p](const configuration_ptr& current) {
+        p.allocation.adopt(*current);
         event_line(log_level::info, "config.adopted").with("revision", current->number);
     };
     p.config = std::make_unique<config_spread>(
         p.settings.self, process_role::control, p.own, p.settings.peers, p.directory, p.bus, &p.store, hooks);
     p.config->registerWith(p.router);
+    p.allocation.listenTo(p.router);
+    p.allocation.start();
     const auto listening = p.bus.listen(p.settings.self.controlAddress, [&p](const envelope& message) {
         if (p.filter.accept(message))
             p.router.route(message);
@@ -193,6 +208,7 @@
     auto& p = *m_parts;
     p.admin->stop(adminStopPatience);
     p.config->stop();
+    p.allocation.stop();
     p.bus.stop();
     event_line(log_level::info, "control.stopped");
 }
--- a/src/flamingoroute/runtime/entry_node.cpp
+++ b/src/flamingoroute/runtime/entry_node.cpp
@@ -2,6 +2,7 @@
 
 #include "flamingoroute/keys/key_authenticator.hpp"
 #include "flamingoroute/keys/key_secret.hpp"
+#include "flamingoroute/limits/rate_limiter.hpp"
 #include "flamingoroute/peers/incarnation_filter.hpp"
 #include "flamingoroute/peers/message_body.hpp"
 #include "flamingoroute/peers/peer_bus.hpp"
@@ -12,6 +13,7 @@
 #include "flamingoroute/runtime/config_spread.hpp"
 #include "flamingoroute/runtime/configuration_holder.hpp"
 #include "flamingoroute/runtime/incarnation_clock.hpp"
+#include "flamingoroute/runtime/limits_duty.hpp"
 #include "flamingoroute/runtime/lookup_json.hpp"
 #include "flamingoroute/runtime/member_directory.hpp"
 #include "flamingoroute/runtime/message_router.hpp"
@@ -70,6 +72,8 @@
         , store(storeSettings(settings))
         , pool(identityOf(settings.self, own), senderTo(directory, bus))
         , steering(pool, store, settings.self, own, [this] { return directory.all(); })
+        , limiter(settings.self.instance, own, limit_settings {}, senderTo(directory, bus))
+        , limits(limiter)
         , guards(settings, own, directory, bus)
         , pipeline(pipelineHooks())
         , callers(settings.entry, settings.self.instance.value() + "-" + std::to_string(own) + "-", serverHooks())
@@ -101,6 +105,8 @@
     std::unique_ptr<key_authenticator> keys;
     upstream_pool pool;
     steering_duty steering;
+    rate_limiter limiter;
+    limits_duty limits;
     upstream_client client;
     std::mutex lookupsMutex;
     std::vector<member> liveMembers;
@@ -118,7 +124,7 @@
     hooks.now = monotonicNow;
     hooks.currentConfiguration = [this] { return holder.get(); };
     hooks.authenticate = [this](const std::string& key) { return keys->authenticate(key); };
-    hooks.admit = [](const customer_id&, monotonic_time) { return tl::expected<void, refusal> {}; };
+    hooks.admit = [this](const auto& customer, auto deadline) { return limiter.admit(customer, deadline); };
     hooks.chooseVersion = [](const service& wanted, const route&) { return wanted.currentVersion; };
     hooks.acquireUpstream = [this](const upstream_wish& wish) { return pool.acquire(wish); };
     hooks.releaseUpstream = [this](const auto& chosen, const auto& result) { pool.release(chosen, result); };
@@ -170,6 +176,7 @@
 {
     keys->adopt(current);
     pool.adopt(current);
+    limiter.adopt(*current);
     holder.set(current);
     rebuildLookups();
     event_line(log_level::info, "config.adopted").with("revision", current->number);
@@ -233,6 +240,8 @@
     p.config->registerWith(p.router);
     p.router.on(message_kind::key_withdrawal, [&p](const envelope& message) { p.takeWithdrawal(message); });
     p.guards.listenTo(p.router);
+    p.limits.listenTo(p.router);
+    p.limits.start();
     p.guards.start();
     const auto listening = p.bus.listen(p.settings.self.entryAddress, [&p](const envelope& message) {
         if (p.filter.accept(message))
@@ -264,6 +273,7 @@
     p.guards.stop();
     p.config->stop();
     p.steering.stop();
+    p.limits.stop();
     p.bus.stop();
     event_line(log_level::info, "entry.stopped");
 }
--- a/tests/support/limits/limits_fleet.cpp
+++ b/tests/support/limits/limits_fleet.cpp
@@ -420,6 +420,7 @@
         return answer;
     }
     m_store[call.customer] = { *call.write, current + 1 };
+    boundMeter(call.customer);
     answer.outcome = store_outcome::done;
     answer.version = current + 1;
     return answer;
