Pick the number of buckets that makes head and chunk together smallest

A change re-sends the head and one chunk. With chunks of some 128 objects the head of 140,000 client blocks outgrew the chunk: 2,049 chunks, head 71,880 bytes, 77,314 bytes fetched for one change, 130 ms.

--- a/src/flamingoroute/config/config_chunks.cpp
+++ b/src/flamingoroute/config/config_chunks.cpp
@@ -4,23 +4,28 @@
 #include "flamingoroute/config/object_codec.hpp"
 #include "flamingoroute/config/object_kinds.hpp"
 
+#include <algorithm>
 #include <bit>
+#include <cmath>
 
 namespace flamingoroute {
 
 namespace {
 
-constexpr std::size_t objectsPerBucket = 128;
+constexpr double objectBytesPerHashBytes = 8.0 / 3; ///< an object in a chunk against a hash in the head
 constexpr std::size_t hysteresisFactor = 4;
 constexpr std::uint64_t fnvOffset = 0xcbf29ce484222325ULL;
 constexpr std::uint64_t fnvPrime = 0x100000001b3ULL;
 constexpr int mixShiftBits = 32;
 
+/// Picks the count at which head and chunk together, which one change re-sends, are smallest.
 std::size_t bucketCountFor(std::size_t objects, std::size_t previous)
 {
-    const bool isPreviousFit = previous > 0 && objects <= previous * objectsPerBucket * hysteresisFactor
-        && objects * hysteresisFactor >= previous * objectsPerBucket;
-    return isPreviousFit ? previous : std::bit_ceil(std::max<std::size_t>(1, objects / objectsPerBucket));
+    const double smallest = std::sqrt(static_cast<double>(objects) * objectBytesPerHashBytes);
+    const auto ideal = std::bit_floor(std::max<std::size_t>(1, static_cast<std::size_t>(smallest)));
+    const bool isPreviousFit
+        = previous > 0 && ideal <= previous * hysteresisFactor && ideal * hysteresisFactor >= previous;
+    return isPreviousFit ? previous : ideal;
 }
 
 std::size_t previousCount(const std::vector<bucket_list>& previous, const std::string& kind)
--- a/src/flamingoroute/config/config_chunks.hpp
+++ b/src/flamingoroute/config/config_chunks.hpp
@@ -20,8 +20,8 @@
 /// @return the bucket of an object, the same on every machine
 std::size_t bucketOf(const std::string& name, std::size_t bucketCount);
 
-/// Cuts a set into chunks of some 128 objects, so that one change re-sends one small chunk.
-/// @param previous the buckets in force; their counts are kept while chunks stay between a quarter and four times that
+/// Cuts a set into as many chunks a kind as keep the head and one chunk, which a change re-sends, small.
+/// @param previous the buckets in force; their counts are kept while they are within a factor of four of the best
 config_chunks cutIntoChunks(const configuration& objects, const std::vector<bucket_list>& previous);
 
 } // namespace flamingoroute
--- a/src/flamingoroute/peers/domain_confirmation.cpp
+++ b/src/flamingoroute/peers/domain_confirmation.cpp
@@ -22,6 +22,7 @@
             line.missing.push_back(entry.where.instance);
     }
     std::vector<domain_confirmation> result;
+    result.reserve(byDomain.size());
     for (auto& [domain, line] : byDomain)
         result.push_back(std::move(line));
     return result;
