--- a/src/flamingoroute/runtime/membership_duty.cpp
+++ b/src/flamingoroute/runtime/membership_duty.cpp
@@ -25,7 +25,10 @@
     , m_membership(std::move(self), role, own, {}, makePick())
     , m_thread(
           ringCapacity, tick, [this](const membership_event& event) { run(event); },
-          [this] { run([](membership& group, monotonic_time now) { return group.onTick(now); }); })
+          [this] {
+              run([](membership& group, monotonic_time now) { return group.onTick(now); });
+              publish(monotonicNow());
+          })
 {
     m_membership.addSeeds(seeds);
 }
@@ -87,7 +90,6 @@
     }
     if (seen && m_hooks.onPlatformSeen)
         m_hooks.onPlatformSeen(*seen);
-    publish(now);
 }
 
 void membership_duty::publish(monotonic_time now)
