Spread an instance's demand over upstreams instead of wanting a slot at each

Cause: one waiting request wanted a slot at every usable upstream, and each small mean was rounded up, so that with many upstreams and instances the wants were many times the need.

--- a/src/flamingoroute/steering/slot_holder.cpp
+++ b/src/flamingoroute/steering/slot_holder.cpp
@@ -8,7 +8,6 @@
 namespace {
 
 constexpr std::size_t rememberedRequests = 64;
-constexpr double negligibleDemand = 0.1; // slots
 
 } // namespace
 
@@ -197,9 +196,9 @@
         held.told = std::max(held.busy, held.ceiling);
         held.toldWanted = held.wanted;
         average(held, now);
-        const int steady = static_cast<int>(std::ceil(held.mean - negligibleDemand));
+        const int steady = static_cast<int>(std::lround(held.mean));
         if (held.told > 0 || held.wanted > 0)
-            request.entries.push_back({ name, held.told, held.wanted, std::max(0, steady) });
+            request.entries.push_back({ name, held.told, held.wanted, steady });
     }
     m_sentAt[m_requests] = now;
     if (m_sentAt.size() > rememberedRequests)
--- a/src/flamingoroute/steering/steering_exchange.cpp
+++ b/src/flamingoroute/steering/steering_exchange.cpp
@@ -22,6 +22,8 @@
     }
 }
 
+/// Wants as many slots as requests wait, spread over the upstreams from a place that differs between instances and
+/// moves on, so that one without room does not hold a request up.
 void steering_core::wantInRing(
     const service_set& set, const upstream_ring& ring, std::size_t waiting, monotonic_time now)
 {
@@ -34,14 +36,16 @@
     }
     if (usable.empty())
         return;
-    const auto each = static_cast<int>((waiting + usable.size() - 1) / usable.size());
-    const double bytes = std::max(set.answerBytes[0], set.answerBytes[1]) * each;
-    for (const auto* target : usable) {
+    const auto bytesEach = std::max(set.answerBytes[0], set.answerBytes[1]);
+    const auto turn = static_cast<std::uint64_t>(now.time_since_epoch() / m_settings.wantRotation);
+    const auto first = (hash64(m_self.instance.value()) + turn) % usable.size();
+    for (std::size_t step = 0; step < usable.size(); ++step) {
+        const auto* target = usable[(first + step) % usable.size()];
         auto& holder = holderOf(target->failureDomain);
-        const int busy = holder.busy(target->name);
-        holder.want(target->name, std::min(target->slots, busy + each), now);
+        const auto part = waiting / usable.size() + (step < waiting % usable.size() ? 1 : 0);
+        holder.want(target->name, std::min(target->slots, holder.busy(target->name) + static_cast<int>(part)), now);
         if (ring.isOtherRegion)
-            holder.wantLinkBytes(static_cast<std::uint64_t>(bytes * static_cast<double>(usable.size())));
+            holder.wantLinkBytes(static_cast<std::uint64_t>(bytesEach * static_cast<double>(waiting)));
     }
 }
 
--- a/src/flamingoroute/steering/steering_settings.hpp
+++ b/src/flamingoroute/steering/steering_settings.hpp
@@ -20,6 +20,7 @@
     milliseconds reportInterval { 50 }; ///< between reports of falling demand while slots are scarce, at least
     milliseconds reportIntervalPerHolder { 20 }; ///< the same, for each instance that holds slots
     milliseconds demandMemory { 300 }; ///< over which steady demand is averaged
+    milliseconds wantRotation { 50 }; ///< demand moves on to other upstreams after this
     milliseconds idleReturn { 300 }; ///< unused credits are returned after this
     milliseconds rotation { 1000 }; ///< scarce slots change hands no faster
     double linkShare = 0.8; ///< of a link's capacity, for requests and answers of borrowers
--- a/tests/scenarios/steering_world.cpp
+++ b/tests/scenarios/steering_world.cpp
@@ -35,6 +35,7 @@
 ///     expect no overload at PLACE
 ///     expect customer NAME answered >= SHARE | refused <= SHARE | p99 <= TIME
 ///     expect no work at PLACE after TIME  of the upstream's own leaving
+///     expect control <= BYTES             a second and instance, sent and received, on average
 ///     expect link REGION to REGION <= MEGABITS
 class steering_world : public scenario_world {
 public:
@@ -180,6 +181,14 @@
             return expectNoWork(w[4], timeOf(w[6]));
         if (w[1] == "customer")
             return expectCustomer();
+        if (w[1] == "control") {
+            const double elapsed = static_cast<double>(m_fleet->now().count()) / 1e6;
+            const double perNode = static_cast<double>(m_fleet->messageBytes()) * 2 / elapsed
+                / static_cast<double>(m_fleet->instanceCount()); // sent and received
+            if (perNode > std::stod(w[3]))
+                return fail(w[1], "took " + std::to_string(perNode) + " bytes a second and instance");
+            return {};
+        }
         if (w[1] == "link") {
             const double megabits = m_fleet->worstLinkBytes(w[2], w[4]) * 8 / 1e6;
             if (megabits > std::stod(w[6]))
