--- a/src/flamingoroute/steering/lookup_table.cpp
+++ b/src/flamingoroute/steering/lookup_table.cpp
@@ -154,17 +154,20 @@
 void lookup_table::addInstances(
     const region_group& group, std::uint64_t clientHash, std::size_t limit, lookup_answer& answer) const
 {
+    const auto wanted = std::min(limit, m_settings.instancesNamed) - answer.instances.size();
     std::vector<scored_member> scored;
     for (const auto& domain : group.domains) {
         const auto first = scored.size();
         for (std::size_t i = 0; i < domain.members.size(); ++i)
             scored.push_back({ mix64(clientHash ^ domain.hashes[i]), 0, &m_members[domain.members[i]] });
-        std::sort(scored.begin() + static_cast<std::ptrdiff_t>(first), scored.end(),
+        const auto begin = scored.begin() + static_cast<std::ptrdiff_t>(first);
+        const auto kept = std::min(wanted, domain.members.size());
+        std::partial_sort(begin, begin + static_cast<std::ptrdiff_t>(kept), scored.end(),
             [](const scored_member& left, const scored_member& right) { return left.score > right.score; });
+        scored.resize(first + kept);
         for (std::size_t i = first; i < scored.size(); ++i)
             scored[i].round = i - first;
     }
-    const auto wanted = std::min(limit, m_settings.instancesNamed) - answer.instances.size();
     const auto taken = std::min(wanted, scored.size());
     std::partial_sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(taken), scored.end(),
         [](const scored_member& left, const scored_member& right) {
