--- a/src/flamingoroute/requests/quarantine_notice.hpp
+++ b/src/flamingoroute/requests/quarantine_notice.hpp
@@ -7,10 +7,11 @@
 
 namespace flamingoroute {
 
-/// Tells other instances that an upstream broke off under a request with this fingerprint.
+/// Tells other instances that an upstream broke off under a request with this fingerprint, or that such a request was
+/// answered whole after all.
 struct quarantine_notice {
     std::string fingerprint;
-    std::string upstreamName;
+    std::string upstreamName; ///< empty: answered whole
     std::uint32_t ageMs = 0; ///< since the upstream broke off, added up along the way
 
     bool operator==(const quarantine_notice&) const = default;
--- a/src/flamingoroute/requests/quarantine_service.cpp
+++ b/src/flamingoroute/requests/quarantine_service.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr std::size_t largestRememberedBody = 64 * 1024; ///< bytes; a larger one costs too much to hash each time
+
 std::string fingerprintFor(const customer_id& customer, const route& way, const caller_request& request)
 {
     return hashOf({ customer.value(), way.name, request.method, request.target, request.body });
@@ -48,12 +50,9 @@
 
 void quarantine_service::noteAnswered(const customer_id& customer, const route& way, const caller_request& request)
 {
-    if (m_isEmpty)
+    if (request.body.size() > largestRememberedBody)
         return;
-    const auto fingerprint = fingerprintFor(customer, way, request);
-    const std::lock_guard lock(m_mutex);
-    m_table.noteAnswered(fingerprint, m_hooks.now());
-    m_isEmpty = m_table.empty();
+    learn({ fingerprintFor(customer, way, request), "", 0 });
 }
 
 void quarantine_service::receive(const quarantine_notice& notice) { learn(notice); }
@@ -63,8 +62,12 @@
     bool isNews = false;
     {
         const std::lock_guard lock(m_mutex);
-        isNews = m_table.noteBroken(
-            notice.fingerprint, upstream_id(notice.upstreamName), milliseconds(notice.ageMs), m_hooks.now());
+        const auto now = m_hooks.now();
+        if (notice.upstreamName.empty())
+            isNews = m_table.noteAnswered(notice.fingerprint, now);
+        else
+            isNews = m_table.noteBroken(
+                notice.fingerprint, upstream_id(notice.upstreamName), milliseconds(notice.ageMs), now);
         m_isEmpty = m_table.empty();
     }
     if (!isNews)
--- a/src/flamingoroute/requests/quarantine_table.cpp
+++ b/src/flamingoroute/requests/quarantine_table.cpp
@@ -1,11 +1,13 @@
 #include "flamingoroute/requests/quarantine_table.hpp"
 
 #include <algorithm>
+#include <functional>
 
 namespace flamingoroute {
 
 quarantine_table::quarantine_table(quarantine_limits limits)
     : m_limits(limits)
+    , m_answered(std::max<std::size_t>(1, limits.answersKept))
 {
 }
 
@@ -20,18 +22,40 @@
     auto& known = m_entries[fingerprint];
     const auto brokenAt = now - age;
     auto [found, isNew] = known.broken.try_emplace(target, brokenAt);
-    found->second = std::max(found->second, brokenAt);
-    known.lastBroken = std::max(known.lastBroken, brokenAt);
-    if (known.broken.size() >= m_limits.upstreamsToQuarantine)
-        known.quarantinedUntil = std::max(known.quarantinedUntil, known.lastBroken + m_limits.duration);
+    if (isNew)
+        known.lastBroken = std::max(known.lastBroken, brokenAt);
+    const auto needed = upstreamsNeeded(fingerprint, now);
+    const auto count = known.countBroken();
+    if (isNew && count >= needed) {
+        const auto duration = count == needed ? m_limits.firstDuration : m_limits.duration;
+        known.quarantinedUntil = std::max(known.quarantinedUntil, known.lastBroken + duration);
+    }
     return isNew;
 }
 
-void quarantine_table::noteAnswered(const std::string& fingerprint, monotonic_time now)
+bool quarantine_table::noteAnswered(const std::string& fingerprint, monotonic_time now)
 {
+    const auto hash = std::hash<std::string> {}(fingerprint);
+    answeredSlot(hash) = { hash, now };
     const auto found = m_entries.find(fingerprint);
-    if (found != m_entries.end() && found->second.quarantinedUntil <= now)
-        m_entries.erase(found);
+    if (found == m_entries.end() || found->second.quarantinedUntil > now)
+        return false;
+    const bool isNews = found->second.countBroken() > 0;
+    found->second.answeredAt = now;
+    return isNews;
+}
+
+std::size_t quarantine_table::entry::countBroken() const
+{
+    return std::count_if(broken.begin(), broken.end(), [this](const auto& one) { return one.second > answeredAt; });
+}
+
+std::size_t quarantine_table::upstreamsNeeded(const std::string& fingerprint, monotonic_time now)
+{
+    const auto hash = std::hash<std::string> {}(fingerprint);
+    const auto& last = answeredSlot(hash);
+    const bool isAnswered = last.hash == hash && last.at > monotonic_time::min() && now - last.at < m_limits.memory;
+    return isAnswered ? m_limits.upstreamsIfAnswered : m_limits.upstreamsToQuarantine;
 }
 
 std::optional<microseconds> quarantine_table::quarantinedFor(const std::string& fingerprint, monotonic_time now) const
--- a/src/flamingoroute/requests/quarantine_table.hpp
+++ b/src/flamingoroute/requests/quarantine_table.hpp
@@ -24,8 +24,9 @@
     /// @return whether this is news that other instances should hear
     bool noteBroken(const std::string& fingerprint, const upstream_id& target, microseconds age, monotonic_time now);
 
-    /// Told of a whole answer: the request does not break upstreams, it only ran beside one that does.
-    void noteAnswered(const std::string& fingerprint, monotonic_time now);
+    /// Told of a whole answer: the request hardly breaks upstreams, it rather ran beside one that does.
+    /// @return whether broken attempts of it were forgotten, which other instances should hear
+    bool noteAnswered(const std::string& fingerprint, monotonic_time now);
 
     /// @return for how long such requests are still held off, or nothing if they may run
     std::optional<microseconds> quarantinedFor(const std::string& fingerprint, monotonic_time now) const;
@@ -40,13 +41,25 @@
         std::map<upstream_id, monotonic_time> broken;
         monotonic_time lastBroken = monotonic_time::min();
         monotonic_time quarantinedUntil = monotonic_time::min();
+        monotonic_time answeredAt = monotonic_time::min(); ///< only later broken attempts count
+
+        /// Those before an answer stay in the table so that a late notice of them is no news.
+        std::size_t countBroken() const;
+    };
+
+    struct answered_request {
+        std::size_t hash = 0;
+        monotonic_time at = monotonic_time::min();
     };
 
+    answered_request& answeredSlot(std::size_t hash) { return m_answered[hash % m_answered.size()]; }
+    std::size_t upstreamsNeeded(const std::string& fingerprint, monotonic_time now);
     void forgetOld(monotonic_time now);
     void makeRoom();
 
     quarantine_limits m_limits;
     std::map<std::string, entry> m_entries;
+    std::vector<answered_request> m_answered; ///< by hash; a newer one takes the place of an older one
 };
 
 } // namespace flamingoroute
