--- a/src/flamingoroute/runtime/control_node.cpp
+++ b/src/flamingoroute/runtime/control_node.cpp
@@ -10,6 +10,7 @@
 #include "flamingoroute/keys/key_hasher.hpp"
 #include "flamingoroute/keys/key_secret.hpp"
 #include "flamingoroute/keys/withdrawals.hpp"
+#include "flamingoroute/moves/move_progress.hpp"
 #include "flamingoroute/peers/incarnation_filter.hpp"
 #include "flamingoroute/peers/message_body.hpp"
 #include "flamingoroute/peers/peer_bus.hpp"
@@ -19,6 +20,7 @@
 #include "flamingoroute/runtime/incarnation_clock.hpp"
 #include "flamingoroute/runtime/member_directory.hpp"
 #include "flamingoroute/runtime/message_router.hpp"
+#include "flamingoroute/runtime/moves_duty.hpp"
 #include "flamingoroute/settings/json_document.hpp"
 #include "flamingoroute/store/http_object_store.hpp"
 #include "flamingoroute/store/lease_record.hpp"
@@ -58,15 +60,18 @@
         , publisher(store, settings.self.instance.value() + "/" + std::to_string(own))
         , allocation(settings.self.instance, own, limit_settings {}, store, senderTo(directory, bus),
               [this] { return directory.all(); })
+        , moves(move_settings {}, settings.self.instance, own, store, movesHooks())
     {
         directory.put(settings.self);
         for (const auto& peer : settings.peers)
             directory.put(peer);
+        publisher.setMerger(withProgress);
     }
 
     configuration_access access();
     status_access status();
     tl::expected<std::vector<lease_status>, error> leases();
+    moves_duty_hooks movesHooks();
     key_hooks keys(const std::string& pepper) const;
     void floodWithdrawals(const configuration_ptr& before, const configuration& after, revision number) const;
 
@@ -81,9 +86,22 @@
     config_publisher publisher;
     allocation_duty allocation;
     std::unique_ptr<config_spread> config;
+    moves_duty moves;
     std::unique_ptr<admin_server> admin;
 };
 
+moves_duty_hooks control_node::parts::movesHooks()
+{
+    moves_duty_hooks hooks;
+    hooks.currentConfiguration = [this] { return config ? config->current() : nullptr; };
+    hooks.members = [this] { return directory.ids(); };
+    hooks.send = [this](const instance_id& to, process_role role, message_kind kind, std::string body) {
+        if (const auto address = directory.addressOf(to, role))
+            bus.send(*address, kind, std::move(body));
+    };
+    return hooks;
+}
+
 configuration_access control_node::parts::access()
 {
     configuration_access result;
@@ -182,6 +200,7 @@
     p.config->registerWith(p.router);
     p.allocation.listenTo(p.router);
     p.allocation.start();
+    p.moves.registerWith(p.router);
     const auto listening = p.bus.listen(p.settings.self.controlAddress, [&p](const envelope& message) {
         if (p.filter.accept(message))
             p.router.route(message);
@@ -196,6 +215,7 @@
     addStatusQuery(registry, p.status());
     p.admin = std::make_unique<admin_server>(std::move(*tokens), std::move(registry));
     p.config->start();
+    p.moves.start();
     const auto started = p.admin->start(p.settings.control.adminAddress);
     if (!started)
         return started;
@@ -207,6 +227,7 @@
 {
     auto& p = *m_parts;
     p.admin->stop(adminStopPatience);
+    p.moves.stop();
     p.config->stop();
     p.allocation.stop();
     p.bus.stop();
