--- a/src/flamingoroute/store/http_object_store.cpp
+++ b/src/flamingoroute/store/http_object_store.cpp
@@ -166,30 +166,8 @@
         return tl::unexpected(error { error_code::unavailable, wanted.step, peer, problem.displayText() });
     }
     try {
-        session->socket().setReceiveTimeout(timespanOf(m_settings.callTimeout + wanted.extraPatience));
-        session->socket().setSendTimeout(timespanOf(m_settings.callTimeout));
-        Poco::Net::HTTPRequest request(wanted.method, wanted.path, Poco::Net::HTTPMessage::HTTP_1_1);
-        request.set("Host", peer);
-        request.set("Platform-Client", m_settings.client);
-        if (wanted.isCreate)
-            request.set("If-None-Match", "*");
-        if (!wanted.condition.empty())
-            request.set("If-Match", wanted.condition);
-        request.setContentLength(static_cast<std::streamsize>(wanted.body.size()));
-        session->sendRequest(request) << wanted.body << std::flush;
-        Poco::Net::HTTPResponse response;
-        answer result;
-        Poco::StreamCopier::copyToString(session->receiveResponse(response), result.body);
-        const bool isWhole = !response.hasContentLength()
-            || result.body.size() == static_cast<std::size_t>(response.getContentLength64());
-        if (!isWhole)
-            return tl::unexpected(error { error_code::outcome_unknown, wanted.step, peer, "the answer was cut" });
-        if (response.getKeepAlive())
-            m_pool->giveBack(std::move(session));
-        if (response.getStatus() != Poco::Net::HTTPResponse::HTTP_OK)
-            return tl::unexpected(error { codeOf(response.getStatus()), wanted.step, peer, result.body });
-        result.version = response.has("ETag") ? std::stoull(response.get("ETag")) : 0;
-        return result;
+        send(wanted, *session);
+        return receive(wanted, std::move(session));
     } catch (const Poco::Exception& problem) {
         return tl::unexpected(error { error_code::outcome_unknown, wanted.step, peer, problem.displayText() });
     } catch (const std::exception& problem) {
@@ -197,6 +175,40 @@
     }
 }
 
+void http_object_store::send(const call& wanted, Poco::Net::HTTPClientSession& session) const
+{
+    session.socket().setReceiveTimeout(timespanOf(m_settings.callTimeout + wanted.extraPatience));
+    session.socket().setSendTimeout(timespanOf(m_settings.callTimeout));
+    Poco::Net::HTTPRequest request(wanted.method, wanted.path, Poco::Net::HTTPMessage::HTTP_1_1);
+    request.set("Host", toString(m_settings.platform));
+    request.set("Platform-Client", m_settings.client);
+    if (wanted.isCreate)
+        request.set("If-None-Match", "*");
+    if (!wanted.condition.empty())
+        request.set("If-Match", wanted.condition);
+    request.setContentLength(static_cast<std::streamsize>(wanted.body.size()));
+    session.sendRequest(request) << wanted.body << std::flush;
+}
+
+tl::expected<http_object_store::answer, error> http_object_store::receive(
+    const call& wanted, std::unique_ptr<Poco::Net::HTTPClientSession> session)
+{
+    const std::string peer = toString(m_settings.platform);
+    Poco::Net::HTTPResponse response;
+    answer result;
+    Poco::StreamCopier::copyToString(session->receiveResponse(response), result.body);
+    const bool isWhole
+        = !response.hasContentLength() || result.body.size() == static_cast<std::size_t>(response.getContentLength64());
+    if (!isWhole)
+        return tl::unexpected(error { error_code::outcome_unknown, wanted.step, peer, "the answer was cut" });
+    if (response.getKeepAlive())
+        m_pool->giveBack(std::move(session));
+    if (response.getStatus() != Poco::Net::HTTPResponse::HTTP_OK)
+        return tl::unexpected(error { codeOf(response.getStatus()), wanted.step, peer, result.body });
+    result.version = response.has("ETag") ? std::stoull(response.get("ETag")) : 0;
+    return result;
+}
+
 tl::expected<stored_object, error> http_object_store::get(const std::string& kind, const std::string& name)
 {
     call wanted { "store.get", "GET", "/v1/objects/" + encoded(kind) + "/" + encoded(name), "", "" };
--- a/src/flamingoroute/store/http_object_store.hpp
+++ b/src/flamingoroute/store/http_object_store.hpp
@@ -7,6 +7,10 @@
 
 #include <memory>
 
+namespace Poco::Net {
+class HTTPClientSession;
+}
+
 namespace flamingoroute {
 
 /// The platform's object API over HTTP. Safe to call from many threads; each call takes a connection of its own.
@@ -36,6 +40,8 @@
 
     tl::expected<answer, error> perform(const call& wanted);
     tl::expected<answer, error> exchange(const call& wanted);
+    void send(const call& wanted, Poco::Net::HTTPClientSession& session) const;
+    tl::expected<answer, error> receive(const call& wanted, std::unique_ptr<Poco::Net::HTTPClientSession> session);
 
     http_object_store_settings m_settings;
     std::unique_ptr<connection_pool> m_pool;
