--- a/tests/unit/steering/allocator_lease_test.cpp
+++ b/tests/unit/steering/allocator_lease_test.cpp
@@ -70,11 +70,14 @@
     candidate one(store, "a", 1);
     one.stepAt(milliseconds(0));
     ASSERT_TRUE(one.role);
+    const auto versionBefore = store.counter;
     store.lostRequests = 1;
     one.stepAt(milliseconds(1000));
-    EXPECT_EQ(one.confirmed, 0) << "that write never took effect";
+    EXPECT_EQ(store.counter, versionBefore) << "that write never took effect";
+    EXPECT_EQ(one.confirmed, 1) << "but the lease was read back as still held";
     one.stepAt(milliseconds(2000));
-    EXPECT_EQ(one.confirmed, 1);
+    EXPECT_EQ(one.confirmed, 2);
+    EXPECT_GT(store.counter, versionBefore);
 }
 
 TEST(allocator_lease, goes_on_while_the_platform_is_down)
