--- a/src/flamingoroute/limits/allocation_plan.cpp
+++ b/src/flamingoroute/limits/allocation_plan.cpp
@@ -16,7 +16,7 @@
 /// Absorbs the rounding of sums of rates; far less than a token a second.
 constexpr double roundingSlack = 1e-9;
 
-const holder_facts* factsOf(const plan_input& input, const instance_id& instance)
+const holder_facts* factsOf(const allocation_input& input, const instance_id& instance)
 {
     for (const auto& facts : input.holders) {
         if (facts.instance == instance)
@@ -50,7 +50,7 @@
 }
 
 /// Lets go of what holders have confirmed or surely can't use.
-void releaseConfirmed(allocation_table& table, const plan_input& input)
+void releaseConfirmed(allocation_table& table, const allocation_input& input)
 {
     for (auto& row : table.floors) {
         const auto* facts = factsOf(input, row.instance);
@@ -180,7 +180,7 @@
 
 } // namespace
 
-std::vector<allocation_row> wantedFloors(const plan_input& input)
+std::vector<allocation_row> wantedFloors(const allocation_input& input)
 {
     const int depthBudget = std::min(input.limit.depth - 1, static_cast<int>(input.floorFraction * input.limit.depth));
     std::vector<holder_facts> active;
@@ -208,7 +208,7 @@
     return rows;
 }
 
-allocation_table planNext(const allocation_table& current, const plan_input& input)
+allocation_table planNext(const allocation_table& current, const allocation_input& input)
 {
     allocation_table next = current;
     next.version = current.version + 1;
@@ -217,7 +217,7 @@
         next.limitRevision = input.limitRevision;
     }
     releaseConfirmed(next, input);
-    plan_input limited = input;
+    allocation_input limited = input;
     limited.limit = next.limit;
     const bool isResplit = input.isResplitDue || next.limit != current.limit;
     auto wanted = isResplit ? settledFloors(next, wantedFloors(limited)) : next.floors;
--- a/src/flamingoroute/limits/allocation_plan.hpp
+++ b/src/flamingoroute/limits/allocation_plan.hpp
@@ -19,7 +19,7 @@
 };
 
 /// What a plan is made from.
-struct plan_input {
+struct allocation_input {
     share limit; ///< rate and burst of the configuration in force
     revision limitRevision = 0;
     std::vector<holder_facts> holders;
@@ -31,10 +31,10 @@
 
 /// One step towards the wanted split: confirmed reductions free room, and only free room is given out.
 /// @return the next table, equal to @p current apart from its version if there is nothing to do
-allocation_table planNext(const allocation_table& current, const plan_input& input);
+allocation_table planNext(const allocation_table& current, const allocation_input& input);
 
 /// @return the floor that each instance should have, for those that should have one
-std::vector<allocation_row> wantedFloors(const plan_input& input);
+std::vector<allocation_row> wantedFloors(const allocation_input& input);
 
 } // namespace flamingoroute
 
--- a/src/flamingoroute/limits/allocator.hpp
+++ b/src/flamingoroute/limits/allocator.hpp
@@ -88,7 +88,7 @@
     bool isIdle(monotonic_time now, const customer_allocation& state) const;
     monotonic_time rightUntil(const customer_allocation& state) const;
     monotonic_time promisedUntil(const allocation_table& table, monotonic_time writeBegan) const;
-    plan_input planInput(monotonic_time now, const customer_allocation& state) const;
+    allocation_input planInput(monotonic_time now, const customer_allocation& state) const;
     instance_id chooseSuccessor(monotonic_time now) const;
     void ping(monotonic_time now);
 
--- a/src/flamingoroute/limits/allocator_holder.cpp
+++ b/src/flamingoroute/limits/allocator_holder.cpp
@@ -156,9 +156,9 @@
     return !hasTraffic && state.table->floors.empty() && state.heldSince + idleTableHold < now;
 }
 
-plan_input allocator::planInput(monotonic_time now, const customer_allocation& state) const
+allocation_input allocator::planInput(monotonic_time now, const customer_allocation& state) const
 {
-    plan_input input;
+    allocation_input input;
     const auto limit = m_limits.find(state.customer);
     if (limit != m_limits.end()) {
         input.limit = { limit->second.perSecond, limit->second.burst };
--- a/src/flamingoroute/peers/envelope.hpp
+++ b/src/flamingoroute/peers/envelope.hpp
@@ -33,6 +33,7 @@
     move_observation = 30,
     quarantine_notice = 40,
     usage_report = 50,
+    burn_usage = 51,
 };
 
 /// A message between two processes of the system.
--- /dev/null
+++ b/src/flamingoroute/runtime/burn_collector.cpp
@@ -0,0 +1,27 @@
+#include "flamingoroute/runtime/burn_collector.hpp"
+
+#include "flamingoroute/peers/message_body.hpp"
+
+namespace flamingoroute {
+
+void burn_collector::take(const envelope& message)
+{
+    auto usage = unpackBody<burn_usage>(message.body);
+    if (!usage)
+        return;
+    const std::lock_guard lock(m_mutex);
+    m_usage[message.from] = std::move(*usage);
+}
+
+burn_report burn_collector::report(const configuration& current, const std::vector<member_status>& members) const
+{
+    std::map<instance_id, failure_domain_id> known;
+    for (const auto& each : members) {
+        if (each.state != member_state::gone)
+            known[each.where.instance] = each.where.failureDomain;
+    }
+    const std::lock_guard lock(m_mutex);
+    return makeBurnReport(current, m_usage, known);
+}
+
+} // namespace flamingoroute
--- a/src/flamingoroute/runtime/control_node.cpp
+++ b/src/flamingoroute/runtime/control_node.cpp
@@ -4,6 +4,7 @@
 #include "flamingoroute/admin/commands/configuration_commands.hpp"
 #include "flamingoroute/admin/commands/key_commands.hpp"
 #include "flamingoroute/admin/commands/move_commands.hpp"
+#include "flamingoroute/admin/queries/burn_query.hpp"
 #include "flamingoroute/admin/queries/configuration_queries.hpp"
 #include "flamingoroute/admin/queries/status_query.hpp"
 #include "flamingoroute/config/config_publisher.hpp"
@@ -16,6 +17,7 @@
 #include "flamingoroute/peers/peer_bus.hpp"
 #include "flamingoroute/report/event_log.hpp"
 #include "flamingoroute/runtime/allocation_duty.hpp"
+#include "flamingoroute/runtime/burn_collector.hpp"
 #include "flamingoroute/runtime/config_spread.hpp"
 #include "flamingoroute/runtime/incarnation_clock.hpp"
 #include "flamingoroute/runtime/member_directory.hpp"
@@ -82,6 +84,7 @@
     peer_bus bus;
     incarnation_filter filter; ///< for the bus's thread only
     http_object_store store;
+    burn_collector burn;
     std::mutex publisherMutex;
     config_publisher publisher;
     allocation_duty allocation;
@@ -199,6 +202,7 @@
         p.settings.self, process_role::control, p.own, p.settings.peers, p.directory, p.bus, &p.store, hooks);
     p.config->registerWith(p.router);
     p.moves.registerWith(p.router);
+    p.router.on(message_kind::burn_usage, [&p](const envelope& message) { p.burn.take(message); });
     p.allocation.listenTo(p.router);
     p.allocation.start();
     const auto listening = p.bus.listen(p.settings.self.controlAddress, [&p](const envelope& message) {
@@ -213,6 +217,10 @@
     addMoveCommands(registry, p.access());
     addConfigurationQueries(registry, p.access());
     addStatusQuery(registry, p.status());
+    addBurnQuery(registry, [&p] {
+        const auto current = p.config->current();
+        return p.burn.report(current ? *current : configuration {}, p.config->members());
+    });
     p.admin = std::make_unique<admin_server>(std::move(*tokens), std::move(registry));
     p.config->start();
     p.moves.start();
--- /dev/null
+++ b/src/flamingoroute/runtime/entry_counters.hpp
@@ -0,0 +1,34 @@
+#ifndef FLAMINGOROUTE_RUNTIME_ENTRY_COUNTERS_HPP
+#define FLAMINGOROUTE_RUNTIME_ENTRY_COUNTERS_HPP
+
+#include "flamingoroute/report/latency_histogram.hpp"
+#include "flamingoroute/requests/request_record.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace flamingoroute {
+
+class metrics_text;
+
+/// Counts of an entry process since its start. Not safe to use from two threads.
+class entry_counters {
+public:
+    /// Takes a request that has ended.
+    void note(const request_record& record);
+
+    /// Adds all counts to @p text.
+    void addTo(metrics_text& text) const;
+
+private:
+    std::map<std::string, std::uint64_t> m_requestsByService;
+    std::map<std::string, std::uint64_t> m_refusalsByReason;
+    std::map<std::string, std::uint64_t> m_requestsByExecution;
+    std::map<std::string, latency_histogram> m_latencyByService;
+    std::uint64_t m_retries = 0;
+};
+
+} // namespace flamingoroute
+
+#endif
--- a/src/flamingoroute/runtime/entry_node.cpp
+++ b/src/flamingoroute/runtime/entry_node.cpp
@@ -7,6 +7,7 @@
 #include "flamingoroute/peers/message_body.hpp"
 #include "flamingoroute/peers/peer_bus.hpp"
 #include "flamingoroute/report/event_log.hpp"
+#include "flamingoroute/report/metrics_text.hpp"
 #include "flamingoroute/requests/request_pipeline.hpp"
 #include "flamingoroute/requests/upstream_client.hpp"
 #include "flamingoroute/runtime/caller_server.hpp"
@@ -17,6 +18,7 @@
 #include "flamingoroute/runtime/lookup_json.hpp"
 #include "flamingoroute/runtime/member_directory.hpp"
 #include "flamingoroute/runtime/message_router.hpp"
+#include "flamingoroute/runtime/report_duty.hpp"
 #include "flamingoroute/runtime/request_guards.hpp"
 #include "flamingoroute/runtime/steering_duty.hpp"
 #include "flamingoroute/runtime/version_duty.hpp"
@@ -24,6 +26,9 @@
 #include "flamingoroute/steering/upstream_pool.hpp"
 #include "flamingoroute/store/http_object_store.hpp"
 
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+
 #include <atomic>
 #include <mutex>
 #include <thread>
@@ -33,6 +38,7 @@
 namespace {
 
 constexpr milliseconds leavingSpreadTime { 1500 }; ///< until all instances know of a planned stop
+constexpr std::size_t wholeFleetReportLimit = 32;
 constexpr milliseconds idleCallerTime { 500 }; ///< for callers to hear that their connection closes
 
 steering_identity identityOf(const member& self, incarnation own)
@@ -87,6 +93,7 @@
         , client(clientOptions(settings))
         , guards(settings, own, directory, bus)
         , versions(move_settings {}, versionHooks())
+        , reports(reportHooks())
         , pipeline(pipelineHooks())
         , callers(settings.entry, settings.self.instance.value() + "-" + std::to_string(own) + "-", serverHooks())
     {
@@ -99,12 +106,16 @@
 
     pipeline_hooks pipelineHooks();
     version_duty_hooks versionHooks();
+    report_duty_hooks reportHooks();
     caller_server_hooks serverHooks();
     config_spread_hooks spreadHooks();
     void adopt(const configuration_ptr& current);
     void takeMembers(const std::vector<member_status>& members);
     void takeWithdrawal(const envelope& message);
     void rebuildLookups();
+    std::vector<instance_id> reportListeners() const;
+    void addMetrics(metrics_text& text) const;
+    void answerMetrics(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response) const;
     caller_answer lookUp(const std::string& clientAddress) const;
 
     instance_settings settings;
@@ -126,8 +137,10 @@
     std::atomic<lookup_table_ptr> lookups;
     request_guards guards;
     version_duty versions;
+    report_duty reports;
     request_pipeline pipeline;
     caller_server callers;
+    http_host metricsHost;
     std::unique_ptr<config_spread> config;
     std::atomic<bool> isLeaving { false };
 };
@@ -150,7 +163,7 @@
         return client.attempt(target, request, deadline);
     };
     guards.addTo(hooks);
-    hooks.observe = [](const request_record&) {};
+    hooks.observe = [this](const request_record& record) { reports.note(record); };
     return hooks;
 }
 
@@ -163,6 +176,40 @@
     return hooks;
 }
 
+report_duty_hooks entry_node::parts::reportHooks()
+{
+    report_duty_hooks hooks;
+    hooks.failureDomain = settings.self.failureDomain;
+    hooks.currentConfiguration = [this] { return holder.get(); };
+    hooks.listeners = [this] { return reportListeners(); };
+    hooks.send = senderTo(directory, bus);
+    hooks.addMetrics = [this](metrics_text& text) { addMetrics(text); };
+    return hooks;
+}
+
+/// In a small fleet every control process can tell the whole burn; in a large one those of the failure domain can.
+std::vector<instance_id> entry_node::parts::reportListeners() const
+{
+    const auto all = directory.all();
+    const bool isSmall = all.size() <= wholeFleetReportLimit;
+    std::vector<instance_id> result;
+    for (const auto& each : all) {
+        if (isSmall || each.failureDomain == settings.self.failureDomain)
+            result.push_back(each.instance);
+    }
+    return result;
+}
+
+void entry_node::parts::addMetrics(metrics_text& text) const
+{
+    const auto current = holder.get();
+    text.gauge("flamingo_config_revision", "Revision of the configuration in force.", {},
+        current ? static_cast<double>(current->number) : 0);
+    text.gauge("flamingo_active_requests", "Requests in service.", {}, callers.activeCount());
+    text.gauge("flamingo_upstream_connections", "Open connections to upstreams.", {}, client.openConnections());
+    text.counter("flamingo_peer_messages_dropped_total", "Messages that a peer did not take.", {}, bus.droppedCount());
+}
+
 caller_server_hooks entry_node::parts::serverHooks()
 {
     caller_server_hooks hooks;
@@ -248,6 +295,17 @@
     }
 }
 
+void entry_node::parts::answerMetrics(
+    Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response) const
+{
+    const bool isMetrics = request.getURI() == "/metrics";
+    const std::string text = isMetrics ? reports.metrics() : "only /metrics is here\n";
+    if (!isMetrics)
+        response.setStatus(Poco::Net::HTTPResponse::HTTP_NOT_FOUND);
+    response.setContentType("text/plain; version=0.0.4");
+    response.sendBuffer(text.data(), text.size());
+}
+
 entry_node::entry_node(instance_settings settings)
     : m_parts(std::make_unique<parts>(std::move(settings)))
 {
@@ -272,6 +330,7 @@
     p.limits.start();
     p.guards.start();
     p.versions.start();
+    p.reports.start();
     const auto listening = p.bus.listen(p.settings.self.entryAddress, [&p](const envelope& message) {
         if (p.filter.accept(message))
             p.router.route(message);
@@ -280,6 +339,10 @@
         return listening;
     p.steering.start();
     p.config->start();
+    const auto metricsStarted = p.metricsHost.start(p.settings.metricsAddress, http_host_options {},
+        [&p](auto& request, auto& response) { p.answerMetrics(request, response); });
+    if (!metricsStarted)
+        return metricsStarted;
     const auto started = p.callers.start(p.settings.self.callerAddress);
     if (!started)
         return started;
@@ -301,6 +364,8 @@
     p.callers.stop(p.settings.entry.stopTimeout);
     p.guards.stop();
     p.versions.stop();
+    p.reports.stop();
+    p.metricsHost.stop(milliseconds { 0 });
     p.config->stop();
     p.steering.stop();
     p.limits.stop();
--- a/tests/unit/limits/allocation_plan_test.cpp
+++ b/tests/unit/limits/allocation_plan_test.cpp
@@ -19,9 +19,9 @@
     return table;
 }
 
-plan_input demandAtTwo()
+allocation_input demandAtTwo()
 {
-    plan_input input;
+    allocation_input input;
     input.limit = wholeLimit;
     input.limitRevision = 1;
     input.isResplitDue = true;
@@ -52,7 +52,7 @@
     auto table = poolOnly();
     table.pool.target = table.pool.reserved = { 80, 40 };
     table.floors = { { instance_id("b"), 8, { 20, 10 }, { 20, 10 }, 1 } };
-    plan_input lower;
+    allocation_input lower;
     lower.limit = { 50, 20 };
     lower.limitRevision = 2;
     lower.holders = { { instance_id("b"), 8, 0, 1, false } };
@@ -66,7 +66,7 @@
 {
     auto table = poolOnly();
     table.floors = { { instance_id("b"), 8, { 20, 10 }, { 20, 10 }, 1 } };
-    plan_input newer;
+    allocation_input newer;
     newer.holders = { { instance_id("b"), 9, 0, 0, false } };
     EXPECT_TRUE(planNext(table, newer).floors.empty());
 }
