--- a/src/flamingoroute/report/burn_report.cpp
+++ b/src/flamingoroute/report/burn_report.cpp
@@ -17,7 +17,7 @@
     return badShare / (1 - goodShare);
 }
 
-void addLines(line_map& merged, const usage_report& report)
+void addLines(line_map& merged, const burn_usage& report)
 {
     for (const auto& line : report.lines) {
         auto& windows = merged[{ service_id(line.service), customer_id(line.customer) }];
@@ -40,7 +40,7 @@
     return line;
 }
 
-void findMissing(burn_report& result, const std::map<instance_id, usage_report>& reports,
+void findMissing(burn_report& result, const std::map<instance_id, burn_usage>& reports,
     const std::map<instance_id, failure_domain_id>& known)
 {
     std::set<failure_domain_id> heard;
@@ -60,14 +60,14 @@
 
 } // namespace
 
-usage_report usageOf(const objective_tracker& tracker, const failure_domain_id& domain, monotonic_time now)
+burn_usage usageOf(const objective_tracker& tracker, const failure_domain_id& domain, monotonic_time now)
 {
-    usage_report report;
+    burn_usage report;
     report.failureDomain = domain.value();
     for (std::size_t window = 0; window < burnWindowCount; ++window)
         report.coveredSeconds.push_back(tracker.covered(window, now).count());
     for (const auto& whom : tracker.subjects()) {
-        usage_line line { whom.first.value(), whom.second.value(), {} };
+        burn_usage_line line { whom.first.value(), whom.second.value(), {} };
         for (std::size_t window = 0; window < burnWindowCount; ++window)
             line.windows.push_back(tracker.counts(whom, window, now));
         report.lines.push_back(line);
@@ -75,7 +75,7 @@
     return report;
 }
 
-burn_report makeBurnReport(const configuration& current, const std::map<instance_id, usage_report>& reports,
+burn_report makeBurnReport(const configuration& current, const std::map<instance_id, burn_usage>& reports,
     const std::map<instance_id, failure_domain_id>& known)
 {
     burn_report result;
--- a/src/flamingoroute/report/burn_report.hpp
+++ b/src/flamingoroute/report/burn_report.hpp
@@ -3,8 +3,8 @@
 
 #include "flamingoroute/model/configuration.hpp"
 #include "flamingoroute/report/burn_line.hpp"
+#include "flamingoroute/report/burn_usage.hpp"
 #include "flamingoroute/report/objective_tracker.hpp"
-#include "flamingoroute/report/usage_report.hpp"
 
 #include <map>
 #include <string>
@@ -23,11 +23,11 @@
 };
 
 /// @return what @p tracker counted, to be sent to other instances
-usage_report usageOf(const objective_tracker& tracker, const failure_domain_id& domain, monotonic_time now);
+burn_usage usageOf(const objective_tracker& tracker, const failure_domain_id& domain, monotonic_time now);
 
 /// Merges the reports of entries.
 /// @param known the instances that should report, with their failure domains
-burn_report makeBurnReport(const configuration& current, const std::map<instance_id, usage_report>& reports,
+burn_report makeBurnReport(const configuration& current, const std::map<instance_id, burn_usage>& reports,
     const std::map<instance_id, failure_domain_id>& known);
 
 /// @return a table for people
--- a/tests/unit/report/burn_report_test.cpp
+++ b/tests/unit/report/burn_report_test.cpp
@@ -46,7 +46,7 @@
 }
 
 /// Ten requests of each customer: "ronda" had five late, "xela" one refused inside its rate and one above it.
-usage_report usageOfTwoCustomers()
+burn_usage usageOfTwoCustomers()
 {
     const auto current = withObjective();
     objective_tracker tracker(start);
@@ -119,10 +119,10 @@
     EXPECT_NE(page.find("<svg"), std::string::npos);
 }
 
-TEST(usage_report, survives_packing)
+TEST(burn_usage, survives_packing)
 {
     const auto usage = usageOfTwoCustomers();
-    const auto unpacked = unpackBody<usage_report>(packBody(usage));
+    const auto unpacked = unpackBody<burn_usage>(packBody(usage));
     ASSERT_TRUE(unpacked);
     EXPECT_EQ(*unpacked, usage);
 }
