Keep a floor for every customer at every instance of a small fleet, and be ready only with it

Ruled out: configuration and keys (adopted in the logs). Change: up to 32 instances, entries report customers without requests, the plan splits the floors among all who report, and an instance answers ready once it has its floors, or after 4 s. An instance that knows no pool asks other instances' control processes in turn.

--- a/src/flamingoroute/limits/allocation_plan.cpp
+++ b/src/flamingoroute/limits/allocation_plan.cpp
@@ -186,7 +186,7 @@
     std::vector<holder_facts> active;
     double total = 0;
     for (const auto& facts : input.holders) {
-        if (facts.demandPerSecond > 0 && !facts.isExpired)
+        if ((facts.demandPerSecond > 0 || input.isStandingBy) && !facts.isExpired)
             active.push_back(facts);
     }
     std::sort(active.begin(), active.end(), [](const holder_facts& left, const holder_facts& right) {
@@ -200,7 +200,7 @@
     std::vector<allocation_row> rows;
     const auto count = static_cast<double>(active.size());
     for (const auto& facts : active) {
-        const double part = evenPart / count + (1 - evenPart) * facts.demandPerSecond / total;
+        const double part = total > 0 ? evenPart / count + (1 - evenPart) * facts.demandPerSecond / total : 1 / count;
         const int spareDepth = depthBudget - static_cast<int>(active.size());
         rows.push_back({ facts.instance, facts.lastIncarnation,
             { input.floorFraction * input.limit.perSecond * part, 1 + static_cast<int>(spareDepth * part) }, {}, 0 });
--- a/src/flamingoroute/limits/allocation_plan.hpp
+++ b/src/flamingoroute/limits/allocation_plan.hpp
@@ -26,6 +26,7 @@
     std::uint64_t confirmedPoolVersion = 0; ///< newest table version whose pool share the pool follows
     share poolInUse; ///< what the pool said to use when it confirmed that
     double floorFraction = 0.2; ///< part of the limit that becomes floors
+    bool isStandingBy = false; ///< holders without demand have a floor, too
     bool isResplitDue = false; ///< floors follow demand only then
 };
 
--- a/src/flamingoroute/limits/allocator_holder.cpp
+++ b/src/flamingoroute/limits/allocator_holder.cpp
@@ -165,6 +165,7 @@
         input.limitRevision = m_limitRevision;
     }
     input.floorFraction = m_settings.floorFraction;
+    input.isStandingBy = m_settings.isStandingBy;
     input.isResplitDue = now < state.planUntil;
     input.confirmedPoolVersion = state.confirmedPoolVersion;
     input.poolInUse = state.poolInUse;
--- a/src/flamingoroute/limits/rate_limiter.cpp
+++ b/src/flamingoroute/limits/rate_limiter.cpp
@@ -4,6 +4,9 @@
 #include "flamingoroute/limits/message_batches.hpp"
 #include "flamingoroute/peers/message_body.hpp"
 
+#include <algorithm>
+#include <variant>
+
 namespace flamingoroute {
 
 namespace {
@@ -97,7 +100,7 @@
     return why;
 }
 
-std::vector<limit_message> rate_limiter::settle(customer_slot& slot)
+std::vector<limit_message> rate_limiter::settle(customer_slot& slot) const
 {
     for (const auto& decision : slot.machine.takeDecisions()) {
         if (slot.waiting.contains(decision.request))
@@ -105,15 +108,50 @@
     }
     if (!slot.decisions.empty())
         slot.decided.notify_all();
-    return slot.machine.takeMessages();
+    auto messages = slot.machine.takeMessages();
+    if (!slot.machine.isPoolKnown())
+        askPeer(messages);
+    return messages;
+}
+
+/// Sends reports to another instance's control process as well, which answers with the table if it has it.
+void rate_limiter::askPeer(std::vector<limit_message>& messages) const
+{
+    const instance_id peer = m_pickPeer ? m_pickPeer() : instance_id {};
+    if (peer.empty())
+        return;
+    std::vector<limit_message> copies;
+    for (const auto& message : messages) {
+        if (message.to == m_self && std::holds_alternative<usage_report>(message.body))
+            copies.push_back({ peer, message.role, message.body });
+    }
+    messages.insert(messages.end(), copies.begin(), copies.end());
 }
 
 void rate_limiter::adopt(const configuration& current)
 {
-    const std::unique_lock lock(m_mutex);
-    m_limited.clear();
+    {
+        const std::unique_lock lock(m_mutex);
+        m_limited.clear();
+        for (const auto& limit : current.rates)
+            m_limited.insert(limit.customer);
+    }
+    if (!m_settings.isStandingBy)
+        return;
     for (const auto& limit : current.rates)
-        m_limited.insert(limit.customer);
+        slotOf(limit.customer);
+}
+
+bool rate_limiter::hasFloors() const
+{
+    const std::shared_lock lock(m_mutex);
+    return std::all_of(m_limited.begin(), m_limited.end(), [this](const customer_id& customer) {
+        const auto found = m_slots.find(customer);
+        if (found == m_slots.end())
+            return false;
+        const std::lock_guard slotLock(found->second->mutex);
+        return found->second->machine.hasFloor(monotonicNow());
+    });
 }
 
 template <typename Use> void rate_limiter::useSlot(const slot_ptr& slot, Use use)
@@ -195,7 +233,8 @@
         slot->machine.tick(monotonicNow());
         for (auto& message : settle(*slot))
             messages.push_back(std::move(message));
-        if (slot->waiting.empty() && slot->machine.isForgettable(monotonicNow()))
+        const bool isKept = m_settings.isStandingBy && isLimited(customer);
+        if (!isKept && slot->waiting.empty() && slot->machine.isForgettable(monotonicNow()))
             idle.push_back(customer);
     }
     sendBatches(messages, m_send);
--- a/src/flamingoroute/limits/rate_limiter.hpp
+++ b/src/flamingoroute/limits/rate_limiter.hpp
@@ -12,6 +12,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -29,6 +30,10 @@
     /// @param send called from the threads that use the limiter
     rate_limiter(instance_id self, incarnation selfIncarnation, const limit_settings& settings, message_sender send);
 
+    /// @param pick any other instance, or an empty name; it is asked who keeps a pool that is not known here, since the
+    ///        platform may be out of reach
+    void setPeerPick(std::function<instance_id()> pick) { m_pickPeer = std::move(pick); }
+
     /// Takes one token of the customer's rate. Blocks up to limit_settings::maxWait for one.
     /// @return nothing, or `over_rate` (not run) with the time after which to try again
     tl::expected<void, refusal> admit(const customer_id& customer, monotonic_time deadline);
@@ -36,6 +41,9 @@
     /// Learns which customers have a rate; others are admitted freely.
     void adopt(const configuration& current);
 
+    /// @return whether this instance has a floor for each customer with a rate, which lets it serve when cut off
+    bool hasFloors() const;
+
     /// Takes in share_request, share_grant, share_table and lease_notice; drops what cannot be read.
     void receive(const envelope& message);
 
@@ -64,7 +72,8 @@
     tl::expected<void, refusal> await(
         customer_slot& slot, std::unique_lock<std::mutex>& lock, std::uint64_t request, monotonic_time deadline);
     static refusal overRate(customer_slot& slot);
-    static std::vector<limit_message> settle(customer_slot& slot);
+    std::vector<limit_message> settle(customer_slot& slot) const;
+    void askPeer(std::vector<limit_message>& messages) const;
     void sayHello(std::vector<limit_message>& messages);
     template <typename Body, typename Use> void receiveAll(const envelope& message, Use use);
     template <typename Use> void useSlot(const slot_ptr& slot, Use use);
@@ -74,6 +83,7 @@
     const incarnation m_incarnation;
     const limit_settings m_settings;
     const message_sender m_send;
+    std::function<instance_id()> m_pickPeer;
     mutable std::shared_mutex m_mutex;
     std::map<customer_id, slot_ptr> m_slots;
     std::set<customer_id> m_limited;
--- a/src/flamingoroute/limits/share_machine.cpp
+++ b/src/flamingoroute/limits/share_machine.cpp
@@ -245,8 +245,7 @@
 
 bool share_machine::isForgettable(monotonic_time now)
 {
-    const bool hasFloor = isFloorValid(now) && m_floor.currentShare() != share {};
-    return m_lastAsk + m_settings.idleAfter < now && m_waiting.empty() && !hasFloor && !m_pool.isActive(now)
+    return m_lastAsk + m_settings.idleAfter < now && m_waiting.empty() && !hasFloor(now) && !m_pool.isActive(now)
         && m_stock.available(now) == 0;
 }
 
--- a/src/flamingoroute/limits/share_machine.hpp
+++ b/src/flamingoroute/limits/share_machine.hpp
@@ -64,6 +64,12 @@
     /// @return true if the customer has had no traffic here and nothing is left that others count on
     bool isForgettable(monotonic_time now);
 
+    /// @return whether the instance that keeps the pool is known here
+    bool isPoolKnown() const { return !m_poolInstance.empty(); }
+
+    /// @return whether this instance may use a floor now
+    bool hasFloor(monotonic_time now) const { return isFloorValid(now) && m_floor.currentShare() != share {}; }
+
     /// @return rate and depth that this instance may use now, floor and pool together
     share shareInUse(monotonic_time now);
 
--- a/src/flamingoroute/runtime/control_node.cpp
+++ b/src/flamingoroute/runtime/control_node.cpp
@@ -23,6 +23,7 @@
 #include "flamingoroute/runtime/member_directory.hpp"
 #include "flamingoroute/runtime/message_router.hpp"
 #include "flamingoroute/runtime/moves_duty.hpp"
+#include "flamingoroute/runtime/small_fleet.hpp"
 #include "flamingoroute/settings/json_document.hpp"
 #include "flamingoroute/store/http_object_store.hpp"
 #include "flamingoroute/store/lease_record.hpp"
@@ -60,7 +61,7 @@
         , bus(settings.self.instance, process_role::control, own)
         , store(storeSettings(settings))
         , publisher(store, settings.self.instance.value() + "/" + std::to_string(own))
-        , allocation(settings.self.instance, own, limit_settings {}, store, senderTo(directory, bus),
+        , allocation(settings.self.instance, own, limitSettingsFor(settings), store, senderTo(directory, bus),
               [this] { return directory.all(); })
         , moves(move_settings {}, settings.self.instance, own, store, movesHooks())
     {
--- a/src/flamingoroute/runtime/entry_node.cpp
+++ b/src/flamingoroute/runtime/entry_node.cpp
@@ -20,6 +20,7 @@
 #include "flamingoroute/runtime/message_router.hpp"
 #include "flamingoroute/runtime/report_duty.hpp"
 #include "flamingoroute/runtime/request_guards.hpp"
+#include "flamingoroute/runtime/small_fleet.hpp"
 #include "flamingoroute/runtime/steering_duty.hpp"
 #include "flamingoroute/runtime/version_duty.hpp"
 #include "flamingoroute/steering/lookup_table.hpp"
@@ -38,7 +39,8 @@
 namespace {
 
 constexpr milliseconds leavingSpreadTime { 1500 }; ///< until all instances know of a planned stop
-constexpr std::size_t wholeFleetReportLimit = 32;
+constexpr milliseconds floorPatience { 4000 };
+constexpr std::size_t listenersInLargeFleet = 2;
 constexpr milliseconds idleCallerTime { 500 }; ///< for callers to hear that their connection closes
 
 steering_identity identityOf(const member& self, incarnation own)
@@ -88,7 +90,7 @@
         , store(storeSettings(settings))
         , pool(identityOf(settings.self, own), senderTo(directory, bus))
         , steering(pool, store, settings.self, own, [this] { return directory.all(); })
-        , limiter(settings.self.instance, own, limit_settings {}, senderTo(directory, bus))
+        , limiter(settings.self.instance, own, limitSettingsFor(settings), senderTo(directory, bus))
         , limits(limiter)
         , client(clientOptions(settings))
         , guards(settings, own, directory, bus)
@@ -114,6 +116,8 @@
     void takeWithdrawal(const envelope& message);
     void rebuildLookups();
     std::vector<instance_id> reportListeners() const;
+    instance_id nextPeer();
+    bool isAdmitting();
     void addMetrics(metrics_text& text) const;
     void answerMetrics(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response) const;
     caller_answer lookUp(const std::string& clientAddress) const;
@@ -142,7 +146,10 @@
     caller_server callers;
     http_host metricsHost;
     std::unique_ptr<config_spread> config;
+    std::atomic<std::size_t> peerCount { 0 };
     std::atomic<bool> isLeaving { false };
+    std::atomic<bool> isSettled { false };
+    std::atomic<monotonic_time> firstAdoptedAt { monotonic_time {} };
 };
 
 pipeline_hooks entry_node::parts::pipelineHooks()
@@ -187,19 +194,42 @@
     return hooks;
 }
 
-/// In a small fleet every control process can tell the whole burn; in a large one those of the failure domain can.
+/// In a small fleet every control process can tell the whole burn; in a large one the first two of the failure domain
+/// tell that of their domain.
 std::vector<instance_id> entry_node::parts::reportListeners() const
 {
     const auto all = directory.all();
-    const bool isSmall = all.size() <= wholeFleetReportLimit;
+    const bool isSmall = all.size() <= smallFleetInstances;
     std::vector<instance_id> result;
     for (const auto& each : all) {
-        if (isSmall || each.failureDomain == settings.self.failureDomain)
+        const bool isLocal = each.failureDomain == settings.self.failureDomain;
+        if (isSmall || (isLocal && result.size() < listenersInLargeFleet))
             result.push_back(each.instance);
     }
     return result;
 }
 
+/// An instance that has just started is ready once it could serve alone, or after a time: the burst of a customer may
+/// be too small for every instance, and in an outage of the platform there are no new floors.
+bool entry_node::parts::isAdmitting()
+{
+    const auto adoptedAt = firstAdoptedAt.load();
+    if (isSettled || adoptedAt == monotonic_time {})
+        return isSettled;
+    const bool isSmall = settings.peers.size() < smallFleetInstances;
+    if (!isSmall || limiter.hasFloors() || monotonicNow() > adoptedAt + floorPatience)
+        isSettled = true;
+    return isSettled;
+}
+
+/// @return the other instances in turn; empty if there is none
+instance_id entry_node::parts::nextPeer()
+{
+    const auto all = directory.all();
+    const auto& candidate = all[peerCount++ % all.size()].instance;
+    return candidate == settings.self.instance ? instance_id {} : candidate;
+}
+
 void entry_node::parts::addMetrics(metrics_text& text) const
 {
     const auto current = holder.get();
@@ -215,7 +245,7 @@
     caller_server_hooks hooks;
     hooks.serve = [this](const caller_request& request) { return pipeline.handle(request); };
     hooks.lookUp = [this](const std::string& clientAddress) { return lookUp(clientAddress); };
-    hooks.isReady = [this] { return config && config->isReady() && !isLeaving; };
+    hooks.isReady = [this] { return config && config->isReady() && !isLeaving && isAdmitting(); };
     return hooks;
 }
 
@@ -252,6 +282,8 @@
     pool.adopt(current);
     limiter.adopt(*current);
     holder.set(current);
+    if (firstAdoptedAt.load() == monotonic_time {})
+        firstAdoptedAt = monotonicNow();
     rebuildLookups();
     event_line(log_level::info, "config.adopted").with("revision", current->number);
 }
@@ -326,6 +358,7 @@
     p.router.on(message_kind::key_withdrawal, [&p](const envelope& message) { p.takeWithdrawal(message); });
     p.guards.listenTo(p.router);
     p.versions.registerWith(p.router);
+    p.limiter.setPeerPick([&p] { return p.nextPeer(); });
     p.limits.listenTo(p.router);
     p.limits.start();
     p.guards.start();
--- a/tests/unit/limits/rate_limiter_test.cpp
+++ b/tests/unit/limits/rate_limiter_test.cpp
@@ -53,7 +53,9 @@
     limiter.receive(leaseOf(30));
     std::atomic<int> admitted { 0 };
     std::vector<std::thread> threads;
-    for (int i = 0; i < 8; ++i) {
+    const int threadCount = 8;
+    threads.reserve(threadCount);
+    for (int i = 0; i < threadCount; ++i) {
         threads.emplace_back([&] {
             for (int call = 0; call < 10; ++call)
                 admitted += limiter.admit(limited, monotonicNow() + milliseconds { 5 }).has_value();
