Share the wiring that both nodes wrote, and one constant-time comparison

storeSettings and senderTo stood word for word in entry_node and control_node, and operator_tokens compared texts beside isEqualInConstantTime. Left alone: storeSettings of request_guards, which has time limits of its own.

--- a/src/flamingoroute/admin/operator_tokens.cpp
+++ b/src/flamingoroute/admin/operator_tokens.cpp
@@ -1,5 +1,7 @@
 #include "flamingoroute/admin/operator_tokens.hpp"
 
+#include "flamingoroute/keys/key_hasher.hpp"
+
 #include <sstream>
 
 namespace flamingoroute {
@@ -8,16 +10,6 @@
 
 constexpr std::size_t minTokenLength = 16;
 
-bool isSameText(const std::string& left, const std::string& right)
-{
-    unsigned difference = left.size() == right.size() ? 0 : 1;
-    for (std::size_t i = 0; i < left.size(); ++i) {
-        const char other = right.empty() ? '\0' : right[i % right.size()];
-        difference |= static_cast<unsigned char>(left[i]) ^ static_cast<unsigned char>(other);
-    }
-    return difference == 0;
-}
-
 } // namespace
 
 tl::expected<operator_tokens, error> operator_tokens::parse(const std::string& text, const std::string& origin)
@@ -47,7 +39,7 @@
 {
     std::optional<std::string> found;
     for (const auto& [name, known] : m_tokenByOperator) {
-        if (isSameText(token, known))
+        if (isEqualInConstantTime(token, known))
             found = name;
     }
     return found;
--- a/src/flamingoroute/runtime/control_node.cpp
+++ b/src/flamingoroute/runtime/control_node.cpp
@@ -23,6 +23,7 @@
 #include "flamingoroute/runtime/member_directory.hpp"
 #include "flamingoroute/runtime/message_router.hpp"
 #include "flamingoroute/runtime/moves_duty.hpp"
+#include "flamingoroute/runtime/node_wiring.hpp"
 #include "flamingoroute/runtime/small_fleet.hpp"
 #include "flamingoroute/settings/json_document.hpp"
 #include "flamingoroute/store/http_object_store.hpp"
@@ -36,22 +37,6 @@
 
 constexpr milliseconds adminStopPatience { 1000 };
 
-message_sender senderTo(const member_directory& directory, peer_bus& bus)
-{
-    return [&directory, &bus](const instance_id& to, process_role role, message_kind kind, std::string body) {
-        if (const auto address = directory.addressOf(to, role))
-            bus.send(*address, kind, std::move(body));
-    };
-}
-
-http_object_store_settings storeSettings(const instance_settings& settings)
-{
-    http_object_store_settings result;
-    result.platform = settings.platformAddress;
-    result.client = settings.self.instance.value() + "/" + settings.self.failureDomain.value();
-    return result;
-}
-
 } // namespace
 
 struct control_node::parts {
--- a/src/flamingoroute/runtime/entry_node.cpp
+++ b/src/flamingoroute/runtime/entry_node.cpp
@@ -18,6 +18,7 @@
 #include "flamingoroute/runtime/lookup_json.hpp"
 #include "flamingoroute/runtime/member_directory.hpp"
 #include "flamingoroute/runtime/message_router.hpp"
+#include "flamingoroute/runtime/node_wiring.hpp"
 #include "flamingoroute/runtime/report_duty.hpp"
 #include "flamingoroute/runtime/request_guards.hpp"
 #include "flamingoroute/runtime/small_fleet.hpp"
@@ -55,22 +56,6 @@
     return settings;
 }
 
-http_object_store_settings storeSettings(const instance_settings& settings)
-{
-    http_object_store_settings result;
-    result.platform = settings.platformAddress;
-    result.client = settings.self.instance.value() + "/" + settings.self.failureDomain.value();
-    return result;
-}
-
-message_sender senderTo(const member_directory& directory, peer_bus& bus)
-{
-    return [&directory, &bus](const instance_id& to, process_role role, message_kind kind, std::string body) {
-        if (const auto address = directory.addressOf(to, role))
-            bus.send(*address, kind, std::move(body));
-    };
-}
-
 /// Shares each upstream's connections between the instances known at the start.
 upstream_client_options clientOptions(const instance_settings& settings)
 {
