--- /dev/null
+++ b/apps/flamingo_node.cpp
@@ -0,0 +1,59 @@
+#include "flamingoroute/admin/client/exit_code.hpp"
+#include "flamingoroute/report/event_log.hpp"
+#include "flamingoroute/runtime/serving_node.hpp"
+#include "platform/fleet_port_factory.hpp"
+#include "platform/platform_store.hpp"
+#include "platform/settings_file.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <iostream>
+
+DEFINE_string(settings, "", "settings file of the platform, TOML; default: what the platform's variable names");
+DEFINE_bool(check_settings, false, "check the settings file, say what is wrong, and end");
+DEFINE_int32(metrics_port, 0, "port of the metrics; 0: none");
+DEFINE_string(log_level, "info", "debug, info, warn or error");
+
+namespace {
+
+using namespace flamingoroute;
+
+exit_code run(node_settings settings)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    startLogging("flamingo-node", settings.instance.value(), FLAGS_log_level);
+    if (FLAGS_metrics_port > 0)
+        settings.metrics = endpoint { settings.callers.address, static_cast<std::uint16_t>(FLAGS_metrics_port) };
+    boost::asio::io_context loop(1);
+    platform::platform_store store(loop, settings.store);
+    serving_node node(loop, settings, platform::makeFleetPort(), store);
+    const auto started = node.start();
+    if (!started) {
+        event_line(log_level::error, "node.not_started").with(started.error());
+        return exit_code::unavailable;
+    }
+    loop.run();
+    return exit_code::done;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("flamingo-node [--settings=FILE] [--check_settings]");
+    gflags::SetVersionString(FLAMINGOROUTE_VERSION);
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const std::string path = FLAGS_settings.empty() ? platform::settingsPathFromEnvironment() : FLAGS_settings;
+    const auto settings = platform::readSettingsFile(path);
+    if (!settings) {
+        std::cerr << describe(settings.error()) << '\n';
+        return static_cast<int>(exit_code::usage);
+    }
+    if (FLAGS_check_settings) {
+        std::cout << path << ": no problems\n";
+        return static_cast<int>(exit_code::done);
+    }
+    return static_cast<int>(run(*settings));
+}
--- a/src/flamingoroute/admin/admin_answer.cpp
+++ b/src/flamingoroute/admin/admin_answer.cpp
@@ -16,6 +16,7 @@
     case error_code::not_found:
         return 404;
     case error_code::conflict:
+    case error_code::expired:
         return 409;
     case error_code::unavailable:
         return 503;
--- /dev/null
+++ b/src/flamingoroute/model/customer_policy.hpp
@@ -0,0 +1,25 @@
+#ifndef FLAMINGOROUTE_MODEL_CUSTOMER_POLICY_HPP
+#define FLAMINGOROUTE_MODEL_CUSTOMER_POLICY_HPP
+
+#include "flamingoroute/model/ids.hpp"
+
+#include <string>
+#include <vector>
+
+namespace flamingoroute {
+
+/// What the operator allows one customer.
+struct customer_policy {
+    customer_id name;
+    std::vector<std::string> keys;
+    int rank = -1; ///< 0 is served first; negative: the rule's rank counts
+    double ratePerSecond = 0; ///< over the whole fleet; zero: no limit
+    double burst = 0; ///< requests beyond the rate
+    std::vector<region_id> homes; ///< regions that may serve it; empty: all
+
+    bool operator==(const customer_policy&) const = default;
+};
+
+} // namespace flamingoroute
+
+#endif
--- a/src/flamingoroute/model/error.cpp
+++ b/src/flamingoroute/model/error.cpp
@@ -11,6 +11,8 @@
         return "not_found";
     case error_code::conflict:
         return "conflict";
+    case error_code::expired:
+        return "expired";
     case error_code::unavailable:
         return "unavailable";
     case error_code::timeout:
--- a/src/flamingoroute/model/error.hpp
+++ b/src/flamingoroute/model/error.hpp
@@ -9,6 +9,7 @@
     invalid_input,
     not_found,
     conflict,
+    expired,
     unavailable,
     timeout,
     outcome_unknown,
--- /dev/null
+++ b/src/flamingoroute/moves/version_gate.cpp
@@ -0,0 +1,181 @@
+#include "flamingoroute/moves/version_gate.hpp"
+
+#include "flamingoroute/fleet/fleet_report.hpp"
+#include "flamingoroute/steering/internal/hash64.hpp"
+
+#include <algorithm>
+
+namespace flamingoroute {
+
+namespace {
+
+/// Part of the exposure that is spent before the switch; the rest is for the time between switch and deadline.
+constexpr double canaryPart = 0.25;
+/// Part of an order's time between switch and deadline.
+constexpr double switchPart = 0.07;
+/// Old upstreams stop at the completed state, so it is written as late as the deadline allows.
+constexpr milliseconds completionMargin { 250 };
+/// An order is known this long after its upstreams at the latest; a version without one is then in use.
+constexpr microseconds orderPatience { 3'000'000 };
+
+constexpr std::uint32_t failuresToJudge = 3;
+constexpr double worstFailureShare = 0.12;
+constexpr std::uint32_t slowToJudge = 4;
+constexpr double worstSlowShare = 0.2;
+constexpr std::uint32_t attemptsToComplete = 10;
+
+constexpr double hashScale = 1.0 / 9007199254740992.0; // 2^-53
+
+double uniformOf(std::uint64_t hash) { return static_cast<double>(mix64(hash) >> 11U) * hashScale; }
+
+} // namespace
+
+version_gate::version_gate(double exposureShare)
+    : m_canaryShare(canaryPart * exposureShare)
+{
+}
+
+void version_gate::noteListed(
+    const service_id& service, const version_id& version, bool isFirstList, monotonic_time now)
+{
+    const bool isNew = m_knownVersions[service].insert(version).second;
+    if (isNew && !isFirstList)
+        m_newVersions[service].emplace(version, now);
+}
+
+void version_gate::noteOrder(const version_order& order, monotonic_time now)
+{
+    auto known = m_orders.find(order.service);
+    const bool isSame = known != m_orders.end() && known->second.order.target == order.target
+        && known->second.order.duration == order.duration;
+    if (!isSame) {
+        m_orders[order.service] = running_order { order, now, {}, {}, false };
+        known = m_orders.find(order.service);
+        if (order.state != version_order_state::rolled_back)
+            m_rolledBack[order.service].erase(order.target);
+    }
+    known->second.order = order;
+    if (order.state == version_order_state::rolled_back)
+        m_rolledBack[order.service].insert(order.target);
+}
+
+void version_gate::noteOrderGone(const service_id& service) { m_orders.erase(service); }
+
+void version_gate::retainOrders(const std::set<service_id>& listed)
+{
+    std::erase_if(m_orders, [&](const auto& entry) { return !listed.contains(entry.first); });
+}
+
+bool version_gate::isSwitchDue(const running_order& running, monotonic_time now) const
+{
+    const auto duration = std::chrono::duration_cast<microseconds>(running.order.duration);
+    const auto lead = microseconds(static_cast<std::int64_t>(switchPart * static_cast<double>(duration.count())));
+    return now - running.since >= duration - lead;
+}
+
+version_filter version_gate::filterFor(
+    const service_id& service, std::uint64_t requestHash, monotonic_time now) const
+{
+    version_filter filter;
+    const auto rolledBack = m_rolledBack.find(service);
+    if (rolledBack != m_rolledBack.end())
+        filter.excluded = rolledBack->second;
+    const auto known = m_orders.find(service);
+    const bool hasOrder = known != m_orders.end();
+    const auto fresh = m_newVersions.find(service);
+    if (fresh != m_newVersions.end()) {
+        for (const auto& [version, since] : fresh->second) {
+            const bool isOrdered = hasOrder && known->second.order.target == version;
+            if (!isOrdered && now - since < orderPatience)
+                filter.excluded.insert(version);
+        }
+    }
+    if (!hasOrder)
+        return filter;
+    const auto& running = known->second;
+    const auto& target = running.order.target;
+    if (running.order.state == version_order_state::rolled_back)
+        return filter;
+    if (running.order.state == version_order_state::running && running.isBad) {
+        filter.excluded.insert(target);
+        return filter;
+    }
+    const bool isTargets = running.order.state == version_order_state::completed || isSwitchDue(running, now)
+        || uniformOf(requestHash) < m_canaryShare;
+    if (isTargets)
+        filter.preferred = target;
+    else
+        filter.avoided = target;
+    return filter;
+}
+
+void version_gate::noteAttempt(const service_id& service, const version_id& version, version_sample sample)
+{
+    const auto known = m_orders.find(service);
+    if (known == m_orders.end() || known->second.order.target != version)
+        return;
+    auto& own = known->second.own;
+    ++own.attempts;
+    own.failures += sample == version_sample::failed ? 1 : 0;
+    own.slow += sample == version_sample::slow ? 1 : 0;
+}
+
+std::vector<version_tally> version_gate::tallies() const
+{
+    std::vector<version_tally> result;
+    for (const auto& [service, running] : m_orders) {
+        if (running.order.state == version_order_state::running)
+            result.push_back({ service.value(), running.order.target.value(), running.own.attempts,
+                running.own.failures, running.own.slow });
+    }
+    return result;
+}
+
+bool version_gate::isBad(const tally& counts)
+{
+    const double attempts = std::max(1U, counts.attempts);
+    const bool fails = counts.failures >= failuresToJudge && counts.failures / attempts >= worstFailureShare;
+    const bool isSlow = counts.slow >= slowToJudge && counts.slow / attempts >= worstSlowShare;
+    return fails || isSlow;
+}
+
+void version_gate::judge(const std::vector<version_tally>& others)
+{
+    for (auto& [service, running] : m_orders) {
+        running.fleet = running.own;
+        for (const auto& other : others) {
+            if (other.service != service.value() || other.version != running.order.target.value())
+                continue;
+            running.fleet.attempts += other.attempts;
+            running.fleet.failures += other.failures;
+            running.fleet.slow += other.slow;
+        }
+        running.isBad = running.isBad || isBad(running.fleet);
+    }
+}
+
+std::vector<version_order> version_gate::dueStates(monotonic_time now) const
+{
+    std::vector<version_order> due;
+    for (const auto& [service, running] : m_orders) {
+        if (running.order.state != version_order_state::running)
+            continue;
+        version_order wanted = running.order;
+        const bool isOver = now - running.since >= running.order.duration - completionMargin;
+        if (running.isBad || (isOver && running.fleet.attempts < attemptsToComplete))
+            wanted.state = version_order_state::rolled_back;
+        else if (isOver)
+            wanted.state = version_order_state::completed;
+        if (wanted.state != running.order.state || !running.order.isStateWritten)
+            due.push_back(wanted);
+    }
+    return due;
+}
+
+std::optional<version_order> version_gate::orderOf(const service_id& service) const
+{
+    const auto known = m_orders.find(service);
+    return known == m_orders.end() ? std::nullopt : std::optional(known->second.order);
+}
+
+} // namespace flamingoroute
--- /dev/null
+++ b/src/flamingoroute/moves/version_gate.hpp
@@ -0,0 +1,96 @@
+#ifndef FLAMINGOROUTE_MOVES_VERSION_GATE_HPP
+#define FLAMINGOROUTE_MOVES_VERSION_GATE_HPP
+
+#include "flamingoroute/model/version_order.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace flamingoroute {
+
+struct version_tally;
+
+/// Which versions of a service a request may go to.
+struct version_filter {
+    std::set<version_id> excluded; ///< never
+    std::optional<version_id> preferred; ///< only this one, unless none of its upstreams can take the request
+    std::optional<version_id> avoided; ///< only if no other can
+
+    bool operator==(const version_filter&) const = default;
+};
+
+/// How one attempt at an upstream ended, for the verdict on its version.
+enum class version_sample {
+    good,
+    failed,
+    slow,
+};
+
+/// Moves requests to the versions that operators order, a little at first, and judges them. Pure.
+///
+/// An untried version gets a share of the requests by hash of their ids, so that all instances keep to the share
+/// without talking. Shortly before the deadline it gets all of them, unless the fleet's tallies speak against it.
+class version_gate {
+public:
+    /// @param exposureShare the most of a service's requests that an untried version may get
+    explicit version_gate(double exposureShare);
+
+    /// Told of each version of a service in the list of upstreams.
+    /// @param isFirstList whether the list was read at the start, when its versions are in use already
+    void noteListed(const service_id& service, const version_id& version, bool isFirstList, monotonic_time now);
+
+    /// Told of an order as it stands in the store.
+    void noteOrder(const version_order& order, monotonic_time now);
+    void noteOrderGone(const service_id& service);
+    /// Forgets orders for services that are not in @p listed.
+    void retainOrders(const std::set<service_id>& listed);
+
+    /// @param requestHash the same wherever the request arrives
+    version_filter filterFor(const service_id& service, std::uint64_t requestHash, monotonic_time now) const;
+
+    /// Counts an attempt, if its version is under an order.
+    void noteAttempt(const service_id& service, const version_id& version, version_sample sample);
+
+    /// @return the counts of this instance
+    std::vector<version_tally> tallies() const;
+
+    /// Takes what the others counted and judges the running orders.
+    void judge(const std::vector<version_tally>& others);
+
+    /// @return orders whose state in the store should become the returned one
+    std::vector<version_order> dueStates(monotonic_time now) const;
+
+    /// @return the order for @p service, if any
+    std::optional<version_order> orderOf(const service_id& service) const;
+
+private:
+    struct tally {
+        std::uint32_t attempts = 0;
+        std::uint32_t failures = 0;
+        std::uint32_t slow = 0;
+    };
+
+    struct running_order {
+        version_order order;
+        monotonic_time since;
+        tally own;
+        tally fleet;
+        bool isBad = false;
+    };
+
+    bool isSwitchDue(const running_order& running, monotonic_time now) const;
+    static bool isBad(const tally& counts);
+
+    double m_canaryShare;
+    std::map<service_id, running_order> m_orders;
+    std::map<service_id, std::map<version_id, monotonic_time>> m_newVersions; ///< listed after the start, by first sight
+    std::map<service_id, std::set<version_id>> m_rolledBack;
+    std::map<service_id, std::set<version_id>> m_knownVersions;
+};
+
+} // namespace flamingoroute
+
+#endif
--- a/src/flamingoroute/peers/envelope.hpp
+++ b/src/flamingoroute/peers/envelope.hpp
@@ -34,6 +34,7 @@
     quarantine_notice = 40,
     usage_report = 50,
     burn_usage = 51,
+    fleet_report = 60,
 };
 
 /// A message between two processes of the system.
--- /dev/null
+++ b/src/flamingoroute/placement/cold_gate.cpp
@@ -0,0 +1,52 @@
+#include "flamingoroute/placement/cold_gate.hpp"
+
+#include "flamingoroute/peers/rendezvous.hpp"
+
+#include <algorithm>
+
+namespace flamingoroute {
+
+namespace {
+
+constexpr std::size_t sendersPerUpstream = 2;
+/// Two views of the members may name different senders at one time.
+constexpr double usedPart = 0.45;
+constexpr double microsecondsPerSecond = 1e6;
+constexpr std::size_t mostRemembered = 4096;
+
+} // namespace
+
+cold_gate::cold_gate(instance_id self, double overshoot, double slack)
+    : m_self(std::move(self))
+    , m_overshoot(overshoot)
+    , m_slack(slack)
+{
+}
+
+microseconds cold_gate::gap(double coldRate) const
+{
+    const double perSecond
+        = std::max(1.0, usedPart * (coldRate * m_overshoot + m_slack) / static_cast<double>(sendersPerUpstream));
+    return microseconds(static_cast<std::int64_t>(microsecondsPerSecond / perSecond));
+}
+
+bool cold_gate::mayTake(const upstream_id& upstream, const std::vector<instance_id>& members, double coldRate,
+    monotonic_time now) const
+{
+    if (coldRate <= 0)
+        return true;
+    const auto senders = pickByRendezvous(upstream.value(), members, sendersPerUpstream);
+    if (std::find(senders.begin(), senders.end(), m_self) == senders.end())
+        return false;
+    const auto last = m_lastSent.find(upstream);
+    return last == m_lastSent.end() || now - last->second >= gap(coldRate);
+}
+
+void cold_gate::take(const upstream_id& upstream, monotonic_time now)
+{
+    if (m_lastSent.size() >= mostRemembered)
+        m_lastSent.clear();
+    m_lastSent[upstream] = now;
+}
+
+} // namespace flamingoroute
--- /dev/null
+++ b/src/flamingoroute/placement/placement.cpp
@@ -0,0 +1,90 @@
+#include "flamingoroute/placement/placement.hpp"
+
+#include "flamingoroute/steering/internal/hash64.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace flamingoroute {
+
+namespace {
+
+/// Candidates looked at in an object's order; further ones would be cold for it anyway.
+constexpr std::size_t candidatesWeighed = 4;
+/// A failed attempt costs about one more attempt and the time to notice.
+constexpr double failureCost = 2.0;
+constexpr double leastWeight = 1e-6;
+
+/// @return the exponential variate of weighted rendezvous hashing; the least one is preferred
+double rendezvousScore(std::uint64_t objectHash, const placement_candidate& candidate)
+{
+    constexpr double scale = 1.0 / 9007199254740992.0; // 2^-53
+    const std::uint64_t mixed = mix64(objectHash ^ hash64(candidate.name.value()));
+    const double uniform = (static_cast<double>(mixed >> 11U) + 0.5) * scale;
+    return -std::log(uniform) / std::max(leastWeight, candidate.weight);
+}
+
+struct weighed_candidate {
+    microseconds wait { 0 };
+    microseconds expected { 0 };
+    double cost = 0;
+};
+
+weighed_candidate weigh(const placement_request& request, const placement_candidate& candidate, bool isFirst)
+{
+    const bool isWarm = candidate.isWarm || (isFirst && request.isSticky);
+    const double work = static_cast<double>((isWarm ? request.warmTime : request.coldTime).count());
+    const double workPerSlot = work * candidate.slowness;
+    const double warmPerSlot = static_cast<double>(request.warmTime.count()) * candidate.slowness;
+    const double ahead = candidate.load + 1 - candidate.slots;
+    const double wait = std::max(0.0, ahead) * warmPerSlot / std::max(1, candidate.slots);
+    weighed_candidate result;
+    result.wait = microseconds(static_cast<std::int64_t>(wait));
+    result.expected = candidate.pathDelay + result.wait + microseconds(static_cast<std::int64_t>(workPerSlot));
+    result.cost = static_cast<double>(result.expected.count()) * (1 + failureCost * candidate.failureShare);
+    return result;
+}
+
+} // namespace
+
+std::vector<std::size_t> preferenceOrder(
+    std::uint64_t objectHash, const std::vector<placement_candidate>& candidates)
+{
+    std::vector<double> scores;
+    scores.reserve(candidates.size());
+    for (const auto& candidate : candidates)
+        scores.push_back(rendezvousScore(objectHash, candidate));
+    std::vector<std::size_t> order(candidates.size());
+    std::iota(order.begin(), order.end(), 0);
+    std::sort(order.begin(), order.end(), [&](std::size_t left, std::size_t right) {
+        return scores[left] != scores[right] ? scores[left] < scores[right] : left < right;
+    });
+    return order;
+}
+
+placement_choice choosePlacement(
+    const placement_request& request, const std::vector<placement_candidate>& candidates)
+{
+    placement_choice choice;
+    const auto order = preferenceOrder(request.objectHash, candidates);
+    double bestCost = 0;
+    std::optional<std::size_t> best;
+    for (std::size_t place = 0; place < std::min(order.size(), candidatesWeighed); ++place) {
+        const auto weighed = weigh(request, candidates[order[place]], place == 0);
+        if (best && weighed.cost >= bestCost)
+            continue;
+        best = order[place];
+        bestCost = weighed.cost;
+        choice.expected = weighed.expected;
+        choice.wait = weighed.wait;
+    }
+    const auto allowedWait = microseconds(
+        static_cast<std::int64_t>(request.patience * static_cast<double>(request.objective.count())));
+    const bool fits = choice.wait <= allowedWait && choice.expected <= request.timeLeft;
+    if (best && fits)
+        choice.index = best;
+    return choice;
+}
+
+} // namespace flamingoroute
--- /dev/null
+++ b/src/flamingoroute/placement/upstream_directory.cpp
@@ -0,0 +1,173 @@
+#include "flamingoroute/placement/upstream_directory.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace flamingoroute {
+
+namespace {
+
+/// A report of load says little after about the time of one request.
+constexpr microseconds loadHalfLife { 400'000 };
+constexpr microseconds firstAvoidance { 500'000 };
+constexpr microseconds longestAvoidance { 4'000'000 };
+constexpr int longestAvoidanceFailures = 4;
+/// A single cut connection may be the path's fault.
+constexpr int failuresBeforeAvoidance = 2;
+/// Weight of the newest attempt in the moving averages.
+constexpr double newestWeight = 0.1;
+constexpr double leastSlowness = 0.5;
+constexpr double mostSlowness = 20;
+
+microseconds avoidanceAfter(int failures)
+{
+    const int doublings = std::min(failures, longestAvoidanceFailures);
+    return std::min(longestAvoidance, firstAvoidance * (1 << doublings));
+}
+
+bool isFailure(attempt_verdict verdict)
+{
+    return verdict == attempt_verdict::failed || verdict == attempt_verdict::broken
+        || verdict == attempt_verdict::unreachable;
+}
+
+void learnLoad(upstream_state& upstream, const reported_load& load, monotonic_time now)
+{
+    upstream.othersLoad = std::max(0, load.running + load.waiting - upstream.inFlight);
+    upstream.loadAt = now;
+}
+
+void learnHealth(upstream_state& upstream, const attempt_report& report)
+{
+    const double failed = isFailure(report.verdict) ? 1 : 0;
+    upstream.failureShare += newestWeight * (failed - upstream.failureShare);
+    if (report.timeRatio > 0) {
+        const double ratio = std::clamp(report.timeRatio, leastSlowness, mostSlowness);
+        upstream.slowness += newestWeight * (ratio - upstream.slowness);
+    }
+}
+
+} // namespace
+
+double estimatedLoad(const upstream_state& upstream, monotonic_time now)
+{
+    const double age = static_cast<double>((now - upstream.loadAt).count());
+    const double kept = std::exp2(-std::max(0.0, age) / static_cast<double>(loadHalfLife.count()));
+    return upstream.inFlight + upstream.othersLoad * kept;
+}
+
+upstream_directory::upstream_directory(std::map<failure_domain_id, region_id> regions)
+    : m_regions(std::move(regions))
+{
+}
+
+void upstream_directory::apply(const listed_upstream& entry, monotonic_time now)
+{
+    auto& known = m_upstreams[entry.name];
+    const bool isOtherStart = known.listed.name.empty() || known.listed.startedAtMs != entry.startedAtMs
+        || known.listed.address != entry.address;
+    if (isOtherStart) {
+        if (!known.listed.service.empty())
+            m_byService[known.listed.service].erase(entry.name);
+        known = upstream_state {};
+        known.lastAnswerAt = now;
+    }
+    known.listed = entry;
+    const auto region = m_regions.find(entry.failureDomain);
+    known.region = region == m_regions.end() ? region_id() : region->second;
+    known.coldUntil = std::max(known.coldUntil, now + microseconds(entry.coldFor));
+    m_byService[entry.service].insert(entry.name);
+}
+
+void upstream_directory::remove(const upstream_id& name)
+{
+    const auto known = m_upstreams.find(name);
+    if (known == m_upstreams.end())
+        return;
+    m_byService[known->second.listed.service].erase(name);
+    m_upstreams.erase(known);
+}
+
+void upstream_directory::retainOnly(const std::set<upstream_id>& listed)
+{
+    std::vector<upstream_id> left;
+    for (const auto& [name, upstream] : m_upstreams) {
+        if (!listed.contains(name))
+            left.push_back(name);
+    }
+    for (const auto& name : left)
+        remove(name);
+}
+
+void upstream_directory::setEvacuated(
+    const std::set<failure_domain_id>& domains, milliseconds coldTime, monotonic_time now)
+{
+    for (auto& [name, upstream] : m_upstreams) {
+        const auto& domain = upstream.listed.failureDomain;
+        if (m_evacuated.contains(domain) && !domains.contains(domain))
+            upstream.coldUntil = std::max(upstream.coldUntil, now + microseconds(coldTime));
+    }
+    m_evacuated = domains;
+}
+
+void upstream_directory::noteSent(const upstream_id& name)
+{
+    const auto known = m_upstreams.find(name);
+    if (known != m_upstreams.end())
+        ++known->second.inFlight;
+}
+
+void upstream_directory::noteEnded(
+    const upstream_id& name, const attempt_report& report, milliseconds coldTime, monotonic_time now)
+{
+    const auto known = m_upstreams.find(name);
+    if (known == m_upstreams.end())
+        return;
+    auto& upstream = known->second;
+    upstream.inFlight = std::max(0, upstream.inFlight - 1);
+    if (report.verdict == attempt_verdict::abandoned)
+        return;
+    learnHealth(upstream, report);
+    if (report.coldFor)
+        upstream.coldUntil = now + microseconds(*report.coldFor);
+    if (report.load)
+        learnLoad(upstream, *report.load, now);
+    upstream.isGone = upstream.isGone || report.verdict == attempt_verdict::misdirected;
+    const bool isSilent
+        = report.verdict == attempt_verdict::broken || report.verdict == attempt_verdict::unreachable;
+    if (!isSilent) {
+        upstream.failuresInRow = 0;
+        upstream.lastAnswerAt = now;
+        return;
+    }
+    ++upstream.failuresInRow;
+    const bool isDown = report.verdict == attempt_verdict::unreachable;
+    if (isDown || upstream.failuresInRow >= failuresBeforeAvoidance) {
+        upstream.avoidUntil = now + avoidanceAfter(upstream.failuresInRow);
+        upstream.coldUntil = std::max(upstream.coldUntil, upstream.avoidUntil + microseconds(coldTime));
+    }
+}
+
+const upstream_state* upstream_directory::find(const upstream_id& name) const
+{
+    const auto known = m_upstreams.find(name);
+    return known == m_upstreams.end() ? nullptr : &known->second;
+}
+
+bool upstream_directory::isEligible(const upstream_state& upstream) const
+{
+    return !upstream.listed.isDraining && !upstream.isGone && !m_evacuated.contains(upstream.listed.failureDomain);
+}
+
+std::vector<const upstream_state*> upstream_directory::ofService(const service_id& service) const
+{
+    std::vector<const upstream_state*> result;
+    const auto names = m_byService.find(service);
+    if (names == m_byService.end())
+        return result;
+    for (const auto& name : names->second)
+        result.push_back(&m_upstreams.at(name));
+    return result;
+}
+
+} // namespace flamingoroute
--- /dev/null
+++ b/src/flamingoroute/proxy/caller_connection.cpp
@@ -0,0 +1,324 @@
+#include "flamingoroute/proxy/caller_connection.hpp"
+
+#include "flamingoroute/proxy/http_text.hpp"
+#include "flamingoroute/proxy/internal/beast_fields.hpp"
+#include "flamingoroute/requests/header_rules.hpp"
+
+#include <Poco/Net/HTTPResponse.h>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <optional>
+
+namespace flamingoroute {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using socket_error = boost::system::error_code;
+
+namespace {
+
+/// Requests that one connection may have open; more are read once some are answered.
+constexpr std::size_t maxOpenRequests = 64;
+/// How long a caller may pause inside a body.
+constexpr milliseconds bodySilence { 10000 };
+const std::string continueText = "HTTP/1.1 100 Continue\r\n\r\n";
+
+caller_answer plainAnswer(int status, const std::string& text)
+{
+    return caller_answer { status, { { "Content-Type", "text/plain" } }, text + "\n" };
+}
+
+caller_answer rejectionOf(const socket_error& problem)
+{
+    if (problem == http::error::header_limit)
+        return plainAnswer(Poco::Net::HTTPResponse::HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE, "the header is too large");
+    if (problem == http::error::body_limit)
+        return plainAnswer(Poco::Net::HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE, "the body is too large");
+    return plainAnswer(Poco::Net::HTTPResponse::HTTP_BAD_REQUEST, "not a request: " + problem.message());
+}
+
+} // namespace
+
+struct caller_connection::open_answer {
+    std::shared_ptr<caller_exchange> exchange;
+    std::optional<std::string> text;
+    bool isKeepAlive = true;
+    bool isLast = false;
+};
+
+struct caller_connection::request_reader {
+    http::request_parser<http::string_body> parser;
+    monotonic_time startedAt;
+    bool wasToldToContinue = false;
+
+    explicit request_reader(const caller_limits& limits)
+        : startedAt(monotonicNow())
+    {
+        parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+        parser.body_limit(limits.bodyBytes);
+        parser.eager(true);
+    }
+};
+
+caller_connection::caller_connection(asio::ip::tcp::socket socket, request_handler handler, limits_query limits)
+    : m_socket(std::move(socket))
+    , m_timer(m_socket.get_executor())
+    , m_handler(std::move(handler))
+    , m_limitsQuery(std::move(limits))
+    , m_limits(m_limitsQuery())
+    , m_lastActivity(monotonicNow())
+{
+}
+
+caller_connection::~caller_connection() = default;
+
+void caller_connection::start()
+{
+    socket_error ignored;
+    m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    read();
+    watchTime();
+}
+
+void caller_connection::read()
+{
+    if (m_isReading || m_isClosed || m_open.size() >= maxOpenRequests)
+        return;
+    m_isReading = true;
+    m_socket.async_read_some(asio::buffer(m_incoming),
+        [self = shared_from_this()](const socket_error& problem, std::size_t size) { self->onRead(problem, size); });
+}
+
+void caller_connection::onRead(const socket_error& problem, std::size_t size)
+{
+    m_isReading = false;
+    if (m_isClosed)
+        return;
+    if (problem) {
+        onGone();
+        return;
+    }
+    m_lastActivity = monotonicNow();
+    if (m_takesRequests) {
+        m_unread.append(m_incoming.data(), size);
+        takeBytes();
+    }
+    read();
+}
+
+void caller_connection::takeBytes()
+{
+    while (!m_unread.empty() && m_takesRequests && !m_isClosed && m_open.size() < maxOpenRequests) {
+        if (!m_reader) {
+            m_limits = m_limitsQuery();
+            m_reader = std::make_unique<request_reader>(m_limits);
+        }
+        socket_error problem;
+        const std::size_t used = m_reader->parser.put(asio::buffer(m_unread), problem);
+        m_unread.erase(0, used);
+        if (problem == http::error::need_more) {
+            watchTime();
+            return;
+        }
+        if (problem) {
+            reject(problem);
+            return;
+        }
+        if (m_reader->parser.is_done()) {
+            onRequest();
+        } else {
+            continueIfExpected();
+            watchTime();
+            if (used == 0)
+                return;
+        }
+    }
+}
+
+void caller_connection::continueIfExpected()
+{
+    const bool isWanted = m_reader->parser.is_header_done() && !m_reader->wasToldToContinue && m_open.empty()
+        && !m_isWriting && m_reader->parser.get().count(http::field::expect) > 0;
+    if (!isWanted)
+        return;
+    m_reader->wasToldToContinue = true;
+    m_outgoing += continueText;
+    flush();
+}
+
+void caller_connection::onRequest()
+{
+    auto message = m_reader->parser.release();
+    m_reader.reset();
+    auto exchange = std::make_shared<caller_exchange>();
+    exchange->request.method = std::string(message.method_string());
+    exchange->request.target = std::string(message.target());
+    exchange->request.headers = headersOf(message);
+    exchange->request.isKeepAlive = message.keep_alive();
+    exchange->request.body = std::move(message.body());
+    exchange->arrivedAt = monotonicNow();
+    auto entry = std::make_shared<open_answer>();
+    entry->exchange = exchange;
+    entry->isKeepAlive = exchange->request.isKeepAlive;
+    m_takesRequests = m_takesRequests && entry->isKeepAlive;
+    m_open.push_back(entry);
+    exchange->answer = [weak = weak_from_this(), weakEntry = std::weak_ptr<open_answer>(entry)](
+                           caller_answer answer, bool isLast) {
+        const auto self = weak.lock();
+        const auto open = weakEntry.lock();
+        if (self && open)
+            self->settle(*open, std::move(answer), isLast);
+    };
+    m_handler(std::move(exchange));
+}
+
+void caller_connection::reject(const socket_error& problem)
+{
+    m_takesRequests = false;
+    auto entry = std::make_shared<open_answer>();
+    entry->text = toHttpText(rejectionOf(problem), false, true);
+    entry->isLast = true;
+    m_open.push_back(entry);
+    flush();
+}
+
+void caller_connection::settle(open_answer& which, caller_answer answer, bool isLast)
+{
+    if (which.text || m_isClosed)
+        return;
+    const bool isNewest = m_open.back().get() == &which;
+    which.isLast = isLast || !which.isKeepAlive || (m_isEnding && isNewest);
+    const bool hasBody = which.exchange->request.method != "HEAD";
+    which.text = toHttpText(answer, !which.isLast, hasBody);
+    which.exchange->onGone = nullptr;
+    flush();
+}
+
+void caller_connection::flush()
+{
+    if (m_isWriting || m_isClosed)
+        return;
+    while (!m_open.empty() && m_open.front()->text && !m_endsAfterWrite) {
+        m_outgoing += *m_open.front()->text;
+        m_endsAfterWrite = m_open.front()->isLast;
+        m_open.pop_front();
+    }
+    m_endsAfterWrite = m_endsAfterWrite || (m_isEnding && m_open.empty());
+    if (m_outgoing.empty())
+        return;
+    m_isWriting = true;
+    auto text = std::make_shared<std::string>(std::move(m_outgoing));
+    m_outgoing.clear();
+    asio::async_write(m_socket, asio::buffer(*text),
+        [self = shared_from_this(), text](const socket_error& problem, std::size_t) { self->onWritten(problem); });
+}
+
+void caller_connection::onWritten(const socket_error& problem)
+{
+    m_isWriting = false;
+    m_lastActivity = monotonicNow();
+    if (m_isClosed)
+        return;
+    if (problem) {
+        onGone();
+        return;
+    }
+    if (m_endsAfterWrite) {
+        socket_error ignored;
+        m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+        m_takesRequests = false;
+        for (const auto& entry : std::exchange(m_open, {})) {
+            if (entry->exchange && entry->exchange->onGone)
+                std::exchange(entry->exchange->onGone, nullptr)();
+        }
+        m_unread.clear();
+        watchTime();
+        return;
+    }
+    flush();
+    takeBytes();
+    read();
+    watchTime();
+}
+
+void caller_connection::endWhenIdle()
+{
+    m_isEnding = true;
+    m_takesRequests = false;
+    if (!isBusy())
+        close();
+}
+
+monotonic_time caller_connection::silenceLimit() const
+{
+    constexpr milliseconds closeWait { 1000 };
+    if (m_endsAfterWrite && !m_isWriting)
+        return m_lastActivity + closeWait;
+    if (m_reader && !m_reader->parser.is_header_done())
+        return m_reader->startedAt + m_limits.headerTimeout;
+    if (m_reader)
+        return m_lastActivity + bodySilence;
+    return m_lastActivity + m_limits.idleTimeout;
+}
+
+void caller_connection::watchTime()
+{
+    if (m_isTimerSet || m_isClosed)
+        return;
+    m_isTimerSet = true;
+    m_timer.expires_at(silenceLimit());
+    m_timer.async_wait([weak = weak_from_this()](const socket_error& cancelled) {
+        const auto self = weak.lock();
+        if (!self || cancelled)
+            return;
+        self->m_isTimerSet = false;
+        self->onTimer();
+    });
+}
+
+void caller_connection::onTimer()
+{
+    if (m_isClosed)
+        return;
+    const bool isTooSilent = monotonicNow() >= silenceLimit();
+    if (!isTooSilent || (!m_reader && isBusy())) {
+        m_lastActivity = isBusy() && isTooSilent ? monotonicNow() : m_lastActivity;
+        watchTime();
+        return;
+    }
+    if (!m_reader || m_endsAfterWrite) {
+        onGone();
+        return;
+    }
+    m_reader.reset();
+    m_takesRequests = false;
+    auto entry = std::make_shared<open_answer>();
+    entry->text = toHttpText(
+        plainAnswer(Poco::Net::HTTPResponse::HTTP_REQUEST_TIMEOUT, "the request did not arrive in time"), false, true);
+    entry->isLast = true;
+    m_open.push_back(entry);
+    flush();
+}
+
+void caller_connection::onGone()
+{
+    close();
+    for (const auto& entry : std::exchange(m_open, {})) {
+        if (entry->exchange && entry->exchange->onGone)
+            std::exchange(entry->exchange->onGone, nullptr)();
+    }
+}
+
+void caller_connection::close()
+{
+    if (m_isClosed)
+        return;
+    m_isClosed = true;
+    socket_error ignored;
+    m_timer.cancel();
+    m_socket.close(ignored);
+}
+
+} // namespace flamingoroute
--- /dev/null
+++ b/src/flamingoroute/proxy/client_connection.cpp
@@ -0,0 +1,289 @@
+#include "flamingoroute/proxy/client_connection.hpp"
+
+#include "flamingoroute/proxy/http_text.hpp"
+#include "flamingoroute/proxy/internal/beast_fields.hpp"
+#include "flamingoroute/requests/header_rules.hpp"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <netinet/tcp.h>
+
+#include <charconv>
+#include <optional>
+
+namespace flamingoroute {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using socket_error = boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t maxAnswerBytes = 64U << 20U;
+constexpr std::uint32_t maxAnswerHeaderBytes = 64U << 10U;
+/// Longer than any path between two regions takes to acknowledge, shorter than most callers wait.
+constexpr int unacknowledgedTimeoutMs = 2000;
+/// A peer that lost power is noticed after about three seconds, also while nothing is sent.
+constexpr int keepAliveIdleSeconds = 1;
+constexpr int keepAliveIntervalSeconds = 1;
+constexpr int keepAliveProbes = 2;
+constexpr milliseconds defaultKeepAlive { 9000 };
+constexpr milliseconds keepAliveMargin { 500 };
+
+template <int Name> using tcp_option = asio::detail::socket_option::integer<IPPROTO_TCP, Name>;
+
+void setSocketOptions(asio::ip::tcp::socket& socket)
+{
+    socket_error ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(tcp_option<TCP_KEEPIDLE>(keepAliveIdleSeconds), ignored);
+    socket.set_option(tcp_option<TCP_KEEPINTVL>(keepAliveIntervalSeconds), ignored);
+    socket.set_option(tcp_option<TCP_KEEPCNT>(keepAliveProbes), ignored);
+    socket.set_option(tcp_option<TCP_USER_TIMEOUT>(unacknowledgedTimeoutMs), ignored);
+}
+
+/// @return the time of "timeout=N" in a Keep-Alive header, less a margin
+milliseconds keepAliveOf(const std::vector<http_header>& headers)
+{
+    const std::string value = headerValue(headers, "Keep-Alive");
+    const std::string label = "timeout=";
+    const auto at = value.find(label);
+    if (at == std::string::npos)
+        return defaultKeepAlive;
+    int whole = 0;
+    const char* first = value.data() + at + label.size();
+    if (std::from_chars(first, value.data() + value.size(), whole).ec != std::errc {})
+        return milliseconds(0);
+    return std::max(milliseconds(0), milliseconds(seconds(whole)) - keepAliveMargin);
+}
+
+} // namespace
+
+struct client_connection::answer_reader {
+    http::response_parser<http::string_body> parser;
+
+    explicit answer_reader(bool isHead)
+    {
+        parser.body_limit(maxAnswerBytes);
+        parser.header_limit(maxAnswerHeaderBytes);
+        parser.eager(true);
+        parser.skip(isHead);
+    }
+};
+
+client_connection::client_connection(asio::io_context& loop, const endpoint& peer, std::string idHeader)
+    : m_socket(loop)
+    , m_connectTimer(loop)
+    , m_peer(peer)
+    , m_idHeader(std::move(idHeader))
+    , m_keepAliveFor(defaultKeepAlive)
+{
+}
+
+client_connection::~client_connection() = default;
+
+bool client_connection::isReusable() const
+{
+    return m_isConnected && !m_isClosed && m_mayReuse && !m_done && !m_isWriting
+        && monotonicNow() - m_idleSince < m_keepAliveFor;
+}
+
+void client_connection::exchange(const http_request& request, milliseconds connectTimeout, done_callback done)
+{
+    m_done = std::move(done);
+    m_hasSent = false;
+    m_connectTime = microseconds(0);
+    m_isHead = request.method == "HEAD";
+    m_requestId = m_idHeader.empty() ? std::string() : headerValue(request.headers, m_idHeader);
+    m_outgoing = toHttpText(request);
+    m_reader = std::make_unique<answer_reader>(m_isHead);
+    if (m_isConnected)
+        write();
+    else
+        connect(connectTimeout);
+}
+
+void client_connection::connect(milliseconds timeout)
+{
+    m_connectStartedAt = monotonicNow();
+    socket_error problem;
+    const auto address = asio::ip::make_address(m_peer.address, problem);
+    if (problem) {
+        // The callback must not run before exchange() has returned.
+        asio::post(m_socket.get_executor(), [self = shared_from_this(), problem] { self->onConnected(problem); });
+        return;
+    }
+    m_connectTimer.expires_after(timeout);
+    m_connectTimer.async_wait([weak = weak_from_this()](const socket_error& cancelled) {
+        const auto self = weak.lock();
+        if (!cancelled && self && !self->m_isConnected && !self->m_isClosed)
+            self->fail("connect", "timeout", true, false);
+    });
+    m_socket.async_connect(asio::ip::tcp::endpoint(address, m_peer.port),
+        [self = shared_from_this()](const socket_error& result) { self->onConnected(result); });
+}
+
+void client_connection::onConnected(const socket_error& problem)
+{
+    m_connectTimer.cancel();
+    if (m_isClosed)
+        return;
+    if (problem) {
+        fail("connect", problem.message(), true, false);
+        return;
+    }
+    m_isConnected = true;
+    m_connectTime = monotonicNow() - m_connectStartedAt;
+    setSocketOptions(m_socket);
+    write();
+    read();
+}
+
+void client_connection::write()
+{
+    m_hasSent = true;
+    m_isWriting = true;
+    asio::async_write(m_socket, asio::buffer(m_outgoing), [self = shared_from_this()](const socket_error& problem, std::size_t) {
+        self->m_isWriting = false;
+        if (problem)
+            self->onEnd(problem);
+    });
+}
+
+void client_connection::read()
+{
+    if (m_isReading || m_isClosed)
+        return;
+    m_isReading = true;
+    // A weak reference: an idle connection that nobody holds any more ends.
+    m_socket.async_read_some(
+        asio::buffer(m_incoming), [weak = weak_from_this()](const socket_error& problem, std::size_t size) {
+            if (const auto self = weak.lock())
+                self->onRead(problem, size);
+        });
+}
+
+void client_connection::onRead(const socket_error& problem, std::size_t size)
+{
+    m_isReading = false;
+    if (m_isClosed)
+        return;
+    if (problem) {
+        onEnd(problem);
+        return;
+    }
+    m_unread.append(m_incoming.data(), size);
+    takeBytes();
+    if (!m_isClosed)
+        read();
+}
+
+void client_connection::takeBytes()
+{
+    while (!m_unread.empty() && !m_isClosed) {
+        if (!m_done) {
+            // Nothing is due: a late or doubled answer. It belongs to no request of ours.
+            close();
+            return;
+        }
+        socket_error problem;
+        const std::size_t used = m_reader->parser.put(asio::buffer(m_unread), problem);
+        m_unread.erase(0, used);
+        if (problem == http::error::need_more)
+            return;
+        if (problem) {
+            fail("read", "malformed answer: " + problem.message(), false, false);
+            return;
+        }
+        if (m_reader->parser.is_done())
+            onAnswer();
+        else if (used == 0)
+            return;
+    }
+}
+
+void client_connection::onEnd(const socket_error& problem)
+{
+    if (m_isClosed)
+        return;
+    if (!m_done) {
+        close();
+        return;
+    }
+    const bool isPeersEnd = problem == asio::error::eof;
+    if (isPeersEnd && m_reader->parser.is_header_done() && m_reader->parser.need_eof()) {
+        socket_error rest;
+        m_reader->parser.put_eof(rest);
+        if (!rest && m_reader->parser.is_done()) {
+            m_mayReuse = false;
+            onAnswer();
+            return;
+        }
+    }
+    fail("read", problem.message(), false, true);
+}
+
+void client_connection::onAnswer()
+{
+    auto message = m_reader->parser.release();
+    const int status = static_cast<int>(message.result_int());
+    auto headers = headersOf(message);
+    const bool isInterim = status < 200;
+    const std::string id = m_idHeader.empty() ? std::string() : headerValue(headers, m_idHeader);
+    const bool isOthers = !m_requestId.empty() && !id.empty() && id != m_requestId;
+    if (isInterim || isOthers) {
+        m_mayReuse = m_mayReuse && !isOthers;
+        m_reader = std::make_unique<answer_reader>(m_isHead);
+        return;
+    }
+    m_mayReuse = m_mayReuse && message.keep_alive() && !m_isWriting && m_unread.empty();
+    m_keepAliveFor = keepAliveOf(headers);
+    m_idleSince = monotonicNow();
+    exchange_result result;
+    result.outcome = attempt_outcome::answered;
+    result.answer = caller_answer { status, std::move(headers), std::move(message.body()) };
+    finish(std::move(result));
+}
+
+void client_connection::fail(
+    const std::string& step, const std::string& detail, bool isConnectFailure, bool wasCutOff)
+{
+    exchange_result result;
+    result.outcome = m_hasSent ? attempt_outcome::unknown : attempt_outcome::not_sent;
+    result.failure = error { error_code::unavailable, step, toString(m_peer), detail };
+    result.isConnectFailure = isConnectFailure;
+    result.wasCutOff = wasCutOff;
+    close();
+    finish(std::move(result));
+}
+
+void client_connection::finish(exchange_result result)
+{
+    result.connectTime = m_connectTime;
+    if (!m_mayReuse)
+        close();
+    const auto done = std::exchange(m_done, nullptr);
+    if (done)
+        done(std::move(result));
+}
+
+void client_connection::abandon()
+{
+    m_done = nullptr;
+    close();
+}
+
+void client_connection::close()
+{
+    if (m_isClosed)
+        return;
+    m_isClosed = true;
+    socket_error ignored;
+    m_connectTimer.cancel();
+    m_socket.close(ignored);
+}
+
+} // namespace flamingoroute
--- /dev/null
+++ b/src/flamingoroute/proxy/client_connection.hpp
@@ -0,0 +1,90 @@
+#ifndef FLAMINGOROUTE_PROXY_CLIENT_CONNECTION_HPP
+#define FLAMINGOROUTE_PROXY_CLIENT_CONNECTION_HPP
+
+#include "flamingoroute/model/endpoint.hpp"
+#include "flamingoroute/model/monotonic_time.hpp"
+#include "flamingoroute/proxy/exchange_result.hpp"
+#include "flamingoroute/proxy/http_request.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace flamingoroute {
+
+/// A connection to an upstream or to the platform's store; carries one request at a time.
+///
+/// An answer is taken only whole, and only if it bears the id of the request. Whatever else arrives ends the
+/// connection's use: bytes behind an answer, bytes while no request is open, a close.
+class client_connection : public std::enable_shared_from_this<client_connection> {
+public:
+    using done_callback = std::function<void(exchange_result)>;
+
+    /// @param peer where to connect
+    /// @param idHeader header that an answer must repeat from its request; empty: none
+    client_connection(boost::asio::io_context& loop, const endpoint& peer, std::string idHeader);
+    ~client_connection();
+
+    /// Sends @p request, after connecting if that has not happened yet.
+    /// @param connectTimeout the longest time until connected
+    /// @param done called once, unless abandon() is called before
+    void exchange(const http_request& request, milliseconds connectTimeout, done_callback done);
+
+    /// Closes the connection; the open request's callback is not called.
+    void abandon();
+
+    /// @return whether another request may be sent on it
+    bool isReusable() const;
+
+    /// @return whether any byte of the open request may have left
+    bool hasSent() const { return m_hasSent; }
+
+    /// @return the time of the last whole answer
+    monotonic_time idleSince() const { return m_idleSince; }
+
+private:
+    struct answer_reader;
+
+    void connect(milliseconds timeout);
+    void onConnected(const boost::system::error_code& problem);
+    void write();
+    void read();
+    void onRead(const boost::system::error_code& problem, std::size_t size);
+    void takeBytes();
+    void onEnd(const boost::system::error_code& problem);
+    void onAnswer();
+    void finish(exchange_result result);
+    void fail(const std::string& step, const std::string& detail, bool isConnectFailure, bool wasCutOff);
+    void close();
+
+    boost::asio::ip::tcp::socket m_socket;
+    boost::asio::steady_timer m_connectTimer;
+    endpoint m_peer;
+    std::string m_idHeader;
+    std::string m_requestId;
+    std::string m_outgoing;
+    std::array<char, 16384> m_incoming {};
+    std::string m_unread;
+    std::unique_ptr<answer_reader> m_reader;
+    done_callback m_done;
+    monotonic_time m_idleSince;
+    monotonic_time m_connectStartedAt;
+    microseconds m_connectTime { 0 };
+    milliseconds m_keepAliveFor;
+    bool m_isConnected = false;
+    bool m_isReading = false;
+    bool m_isWriting = false;
+    bool m_isClosed = false;
+    bool m_hasSent = false;
+    bool m_mayReuse = true;
+    bool m_isHead = false;
+};
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/proxy/http_listener.cpp
@@ -0,0 +1,124 @@
+#include "flamingoroute/proxy/http_listener.hpp"
+
+#include "flamingoroute/model/error.hpp"
+#include "flamingoroute/report/event_log.hpp"
+
+namespace flamingoroute {
+
+namespace asio = boost::asio;
+using socket_error = boost::system::error_code;
+
+namespace {
+
+constexpr int acceptBacklog = 512;
+/// Accepting fails mostly for want of descriptors; some are free again soon.
+constexpr milliseconds acceptPause { 20 };
+
+} // namespace
+
+http_listener::http_listener(
+    asio::io_context& loop, caller_connection::request_handler handler, caller_connection::limits_query limits)
+    : m_loop(loop)
+    , m_acceptor(loop)
+    , m_pause(loop)
+    , m_handler(std::move(handler))
+    , m_limits(std::move(limits))
+{
+}
+
+tl::expected<void, error> http_listener::listen(const endpoint& where, std::size_t maxConnections)
+{
+    m_maxConnections = maxConnections;
+    socket_error problem;
+    const auto address = asio::ip::make_address(where.address, problem);
+    const asio::ip::tcp::endpoint local(address, where.port);
+    if (!problem)
+        m_acceptor.open(local.protocol(), problem);
+    if (!problem)
+        m_acceptor.set_option(asio::socket_base::reuse_address(true), problem);
+    if (!problem)
+        m_acceptor.bind(local, problem);
+    if (!problem)
+        m_acceptor.listen(acceptBacklog, problem);
+    if (problem) {
+        return tl::unexpected(
+            error { error_code::unavailable, "http.listen", toString(where), problem.message() });
+    }
+    accept();
+    return {};
+}
+
+void http_listener::accept()
+{
+    m_acceptor.async_accept([this](const socket_error& problem, asio::ip::tcp::socket socket) {
+        if (problem == asio::error::operation_aborted || !m_acceptor.is_open())
+            return;
+        if (!problem) {
+            adopt(std::move(socket));
+            accept();
+            return;
+        }
+        event_line(log_level::warn, "http.accept_failed").with("detail", problem.message());
+        m_pause.expires_after(acceptPause);
+        m_pause.async_wait([this](const socket_error& cancelled) {
+            if (!cancelled)
+                accept();
+        });
+    });
+}
+
+void http_listener::adopt(asio::ip::tcp::socket socket)
+{
+    if (m_connections.size() >= m_forgetAbove)
+        forgetClosed();
+    if (m_connections.size() >= m_maxConnections) {
+        event_line(log_level::warn, "http.connection_refused").with("limit", m_maxConnections);
+        return;
+    }
+    auto connection = std::make_shared<caller_connection>(std::move(socket), m_handler, m_limits);
+    m_connections.push_back(connection);
+    connection->start();
+}
+
+void http_listener::forgetClosed()
+{
+    constexpr std::size_t leastForgetAbove = 64;
+    std::erase_if(m_connections, [](const auto& weak) {
+        const auto connection = weak.lock();
+        return !connection || connection->isClosed();
+    });
+    m_forgetAbove = std::max(leastForgetAbove, 2 * m_connections.size());
+}
+
+void http_listener::stopAccepting()
+{
+    socket_error ignored;
+    m_acceptor.close(ignored);
+    m_pause.cancel();
+}
+
+void http_listener::endConnections()
+{
+    for (const auto& weak : m_connections) {
+        if (const auto connection = weak.lock())
+            connection->endWhenIdle();
+    }
+}
+
+bool http_listener::isBusy() const
+{
+    return std::any_of(m_connections.begin(), m_connections.end(), [](const auto& weak) {
+        const auto connection = weak.lock();
+        return connection && !connection->isClosed() && connection->isBusy();
+    });
+}
+
+std::size_t http_listener::connectionCount() const
+{
+    return static_cast<std::size_t>(std::count_if(m_connections.begin(), m_connections.end(), [](const auto& weak) {
+        const auto connection = weak.lock();
+        return connection && !connection->isClosed();
+    }));
+}
+
+} // namespace flamingoroute
--- /dev/null
+++ b/src/flamingoroute/proxy/http_request.hpp
@@ -0,0 +1,24 @@
+#ifndef FLAMINGOROUTE_PROXY_HTTP_REQUEST_HPP
+#define FLAMINGOROUTE_PROXY_HTTP_REQUEST_HPP
+
+#include "flamingoroute/requests/http_header.hpp"
+
+#include <string>
+#include <vector>
+
+namespace flamingoroute {
+
+/// A whole HTTP request.
+struct http_request {
+    std::string method;
+    std::string target; ///< path and query
+    std::vector<http_header> headers;
+    std::string body;
+    bool isKeepAlive = true;
+
+    bool operator==(const http_request&) const = default;
+};
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/proxy/http_text.hpp
@@ -0,0 +1,21 @@
+#ifndef FLAMINGOROUTE_PROXY_HTTP_TEXT_HPP
+#define FLAMINGOROUTE_PROXY_HTTP_TEXT_HPP
+
+#include "flamingoroute/proxy/http_request.hpp"
+#include "flamingoroute/requests/caller_answer.hpp"
+
+#include <string>
+
+namespace flamingoroute {
+
+/// @return @p request as HTTP/1.1 text with a Content-Length; hop-by-hop headers are left out
+std::string toHttpText(const http_request& request);
+
+/// @return @p answer as HTTP/1.1 text with a Content-Length
+/// @param isKeepAlive whether the connection stays open after it
+/// @param hasBody false for an answer to HEAD
+std::string toHttpText(const caller_answer& answer, bool isKeepAlive, bool hasBody);
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/routing/routing_table.hpp
@@ -0,0 +1,44 @@
+#ifndef FLAMINGOROUTE_ROUTING_ROUTING_TABLE_HPP
+#define FLAMINGOROUTE_ROUTING_ROUTING_TABLE_HPP
+
+#include "flamingoroute/model/fleet_configuration.hpp"
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace flamingoroute {
+
+/// A configuration arranged for looking things up. Immutable.
+class routing_table {
+public:
+    explicit routing_table(fleet_configuration source);
+
+    const fleet_configuration& source() const { return m_source; }
+    std::uint64_t version() const { return m_source.version; }
+
+    /// @param host value of the Host header; a port and the letters' case are ignored
+    /// @param target path, with or without a query
+    /// @return the rule with the longest matching prefix, or null
+    const routing_rule* findRule(std::string_view host, std::string_view target) const;
+
+    /// @return the customer that holds @p key, or null
+    const customer_policy* findCustomer(const std::string& key) const;
+
+    /// @return the service, or null
+    const service_policy* findService(const service_id& name) const;
+
+private:
+    fleet_configuration m_source;
+    std::unordered_map<std::string, std::vector<const routing_rule*>> m_rulesByHost; ///< longest prefix first
+    std::unordered_map<std::string, const customer_policy*> m_customersByKey;
+    std::unordered_map<service_id, const service_policy*> m_services;
+};
+
+using routing_table_ptr = std::shared_ptr<const routing_table>;
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/runtime/fleet_port.hpp
@@ -0,0 +1,46 @@
+#ifndef FLAMINGOROUTE_RUNTIME_FLEET_PORT_HPP
+#define FLAMINGOROUTE_RUNTIME_FLEET_PORT_HPP
+
+#include "flamingoroute/model/error.hpp"
+#include "flamingoroute/model/fleet_configuration.hpp"
+#include "flamingoroute/model/listed_upstream.hpp"
+#include "flamingoroute/model/member.hpp"
+#include "flamingoroute/model/version_order.hpp"
+#include "flamingoroute/proxy/header_names.hpp"
+#include "flamingoroute/proxy/http_request.hpp"
+#include "flamingoroute/requests/caller_answer.hpp"
+#include "flamingoroute/runtime/lookup_question.hpp"
+#include "flamingoroute/store/fleet_object.hpp"
+
+#include <tl/expected.hpp>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace flamingoroute {
+
+/// What a node must be told to speak with its surroundings: names of kinds and headers, and how messages are read
+/// and written. Decides nothing.
+struct fleet_port {
+    header_names headers;
+    std::string configurationKind;
+    std::string configurationName;
+    std::string upstreamKind;
+    std::string versionOrderKind;
+    std::string evacuationKind; ///< an object's name is the failure domain
+    std::string memberKind;
+    std::function<tl::expected<fleet_configuration, error>(const fleet_object&)> readConfiguration;
+    std::function<tl::expected<listed_upstream, error>(const fleet_object&)> readUpstream;
+    std::function<tl::expected<version_order, error>(const fleet_object&)> readVersionOrder;
+    std::function<tl::expected<member, error>(const fleet_object&)> readMember;
+    std::function<std::string(const member&)> writeMember; ///< JSON for the store
+    std::function<std::string(const version_order&)> writeVersionOrderState; ///< JSON for the store
+    std::function<tl::expected<lookup_question, error>(const http_request&)> readLookup;
+    std::function<caller_answer(const std::vector<member>&, milliseconds)> writeLookup;
+    std::function<bool(const http_request&)> isReadinessCheck;
+};
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/runtime/serving_node.cpp
@@ -0,0 +1,269 @@
+#include "flamingoroute/runtime/serving_node.hpp"
+
+#include "flamingoroute/report/event_log.hpp"
+#include "flamingoroute/report/metrics_text.hpp"
+#include "flamingoroute/serving/own_answer.hpp"
+#include "flamingoroute/serving/request_flow.hpp"
+
+#include <csignal>
+
+namespace flamingoroute {
+
+namespace {
+
+constexpr milliseconds tickInterval { 100 };
+constexpr milliseconds leaveInterval { 50 };
+/// Callers keep an answer this long; a leaving instance goes on serving for longer than that.
+constexpr milliseconds lookupTtl { 1500 };
+/// Parts of the grace period: new connections are taken until the first, requests are finished until the second.
+constexpr double acceptPart = 0.5;
+constexpr double finishPart = 0.9;
+/// The least time before a leaving instance ends, for callers that have just been told of it.
+constexpr milliseconds leastLeave { 2000 };
+constexpr milliseconds orderWriteRetry { 700 };
+/// Descriptors kept for the store, peers, logs and upstreams.
+constexpr std::size_t callerShareOfDescriptors = 2;
+constexpr std::size_t sideConnections = 256;
+
+member selfOf(const node_settings& settings)
+{
+    member self;
+    self.instance = settings.instance;
+    self.failureDomain = settings.failureDomain;
+    self.region = settings.region;
+    self.callerAddress = settings.callers;
+    self.entryAddress = settings.peers;
+    return self;
+}
+
+microseconds partOf(milliseconds time, double part)
+{
+    return microseconds(static_cast<std::int64_t>(static_cast<double>(microseconds(time).count()) * part));
+}
+
+} // namespace
+
+serving_node::serving_node(
+    boost::asio::io_context& loop, const node_settings& settings, fleet_port port, watched_store& store)
+    : m_loop(loop)
+    , m_port(std::move(port))
+    , m_store(store)
+    , m_state(loop, settings, m_port.headers, selfOf(settings))
+    , m_watch(m_state, store, m_port, [this] { registerSelf(); })
+    , m_gossip(m_state, [this] { onHeard(); })
+    , m_callers(loop, [this](auto exchange) { serve(std::move(exchange)); },
+          [this] { return m_state.table ? m_state.table->source().limits : caller_limits {}; })
+    , m_readiness(loop, [this](auto exchange) { answerReadiness(*exchange); }, [] { return caller_limits {}; })
+    , m_lookups(loop, [this](auto exchange) { answerLookup(*exchange); }, [] { return caller_limits {}; })
+    , m_metrics(loop, [this](auto exchange) { answerMetrics(*exchange); }, [] { return caller_limits {}; })
+    , m_signals(loop, SIGTERM, SIGINT, SIGHUP)
+    , m_timer(loop)
+    , m_leaveTimer(loop)
+{
+}
+
+tl::expected<void, error> serving_node::start()
+{
+    const auto& settings = m_state.settings;
+    const std::size_t callerConnections = settings.descriptors / callerShareOfDescriptors;
+    awaitStop();
+    auto started = m_gossip.start();
+    if (started)
+        started = m_readiness.listen(settings.readiness, sideConnections);
+    if (started)
+        started = m_lookups.listen(settings.lookups, callerConnections / 2);
+    if (started)
+        started = m_callers.listen(settings.callers, callerConnections);
+    if (started && settings.metrics.port != 0)
+        started = m_metrics.listen(settings.metrics, sideConnections);
+    if (!started)
+        return started;
+    event_line(log_level::info, "node.started")
+        .with("failure_domain", settings.failureDomain.value())
+        .with("callers", toString(settings.callers));
+    m_watch.start();
+    tick();
+    return {};
+}
+
+void serving_node::registerSelf()
+{
+    if (m_isRegistering || m_state.isLeaving)
+        return;
+    m_isRegistering = true;
+    m_store.put(m_port.memberKind, m_state.settings.instance.value(), m_port.writeMember(m_state.members.self()),
+        [this](const auto& written) {
+            m_isRegistering = false;
+            if (!written)
+                event_line(log_level::warn, "member.not_registered").with(written.error());
+        });
+}
+
+void serving_node::tick()
+{
+    updateReadiness();
+    writeDueOrders();
+    forgetLostMembers();
+    m_timer.expires_after(tickInterval);
+    m_timer.async_wait([this](const boost::system::error_code& cancelled) {
+        if (!cancelled)
+            tick();
+    });
+}
+
+void serving_node::updateReadiness()
+{
+    const bool isReady = m_watch.isComplete() && !m_state.isLeaving;
+    if (isReady == m_state.members.isSelfReady())
+        return;
+    m_state.members.setSelfReady(isReady);
+    event_line(log_level::info, "node.readiness").with("ready", isReady ? 1 : 0);
+    m_gossip.report();
+}
+
+void serving_node::onHeard()
+{
+    std::vector<version_tally> tallies;
+    for (const auto& report : m_state.members.freshReports(monotonicNow()))
+        tallies.insert(tallies.end(), report.tallies.begin(), report.tallies.end());
+    m_state.versions.judge(tallies);
+}
+
+void serving_node::writeDueOrders()
+{
+    const auto now = monotonicNow();
+    for (const auto& order : m_state.versions.dueStates(now)) {
+        auto& last = m_orderWrites[order.service];
+        if (now - last < orderWriteRetry)
+            continue;
+        last = now;
+        event_line(log_level::info, "version_order.decided")
+            .with("service", order.service.value())
+            .with("target", order.target.value())
+            .with("state", toString(order.state))
+            .with("revision", order.revision);
+        m_store.putStatus(m_port.versionOrderKind, order.service.value(), m_port.writeVersionOrderState(order),
+            order.revision, [](const auto& written) {
+                if (!written)
+                    event_line(log_level::info, "version_order.not_written").with(written.error());
+            });
+    }
+}
+
+void serving_node::forgetLostMembers()
+{
+    const auto now = monotonicNow();
+    for (const auto& other : m_state.members.others()) {
+        if (!m_state.members.isLost(other.instance, now) || m_state.members.heardCount(now) < 2)
+            continue;
+        event_line(log_level::info, "member.lost").with("instance", other.instance.value());
+        m_state.members.noteUnregistered(other.instance);
+        m_store.remove(m_port.memberKind, other.instance.value(), [](const auto&) {});
+    }
+}
+
+void serving_node::serve(std::shared_ptr<caller_exchange> exchange)
+{
+    std::make_shared<request_flow>(m_state, std::move(exchange))->start();
+}
+
+void serving_node::answerLookup(const caller_exchange& exchange) const
+{
+    const auto question = m_port.readLookup(exchange.request);
+    if (!question) {
+        const bool isUnknownPath = question.error().code == error_code::not_found;
+        exchange.answer(ownAnswer(isUnknownPath ? 404 : 400, question.error().detail), false);
+        return;
+    }
+    const auto near
+        = m_state.members.readyNear(question->failureDomain, question->region, monotonicNow());
+    if (near.empty()) {
+        exchange.answer(ownAnswer(503, "no_ready_instance"), false);
+        return;
+    }
+    exchange.answer(m_port.writeLookup(near, std::min(lookupTtl, m_state.settings.bounds.maxLookupTtl)), false);
+}
+
+void serving_node::answerReadiness(const caller_exchange& exchange) const
+{
+    if (!m_port.isReadinessCheck(exchange.request)) {
+        exchange.answer(ownAnswer(404, "unknown_path"), false);
+        return;
+    }
+    const bool isReady = m_state.members.isSelfReady();
+    exchange.answer(ownAnswer(isReady ? 200 : 503, isReady ? "none" : "not_ready"), false);
+}
+
+void serving_node::answerMetrics(const caller_exchange& exchange) const
+{
+    metrics_text text;
+    for (const auto& [decision, count] : m_state.counters.decisions)
+        text.counter("flamingo_requests_total", "Requests by decision.", { { "decision", decision } }, count);
+    for (const auto& [outcome, count] : m_state.counters.attempts)
+        text.counter("flamingo_attempts_total", "Attempts by outcome.", { { "outcome", outcome } }, count);
+    text.counter("flamingo_retries_total", "Repeated sendings.", {}, m_state.counters.retries);
+    text.counter("flamingo_upstream_connections_total", "Connections opened to upstreams.", {},
+        m_state.links.openedCount());
+    text.histogram("flamingo_answer_seconds", "Time to an upstream's answer.", {}, m_state.counters.answerTime);
+    text.gauge("flamingo_configuration_version", "Version in force.", {},
+        m_state.table ? static_cast<double>(m_state.table->version()) : 0);
+    text.gauge("flamingo_members_heard", "Instances heard lately.", {},
+        static_cast<double>(m_state.members.heardCount(monotonicNow())));
+    exchange.answer(caller_answer { 200, { { "Content-Type", "text/plain; version=0.0.4" } }, text.text() }, false);
+}
+
+void serving_node::awaitStop()
+{
+    m_signals.async_wait([this](const boost::system::error_code& cancelled, int signal) {
+        if (cancelled)
+            return;
+        if (signal == SIGHUP) {
+            event_line(log_level::info, "node.reload").with("detail", "settings hold for the life of a process");
+            awaitStop();
+            return;
+        }
+        leave();
+    });
+}
+
+void serving_node::leave()
+{
+    if (m_state.isLeaving)
+        return;
+    event_line(log_level::info, "node.leaving").with("connections", m_callers.connectionCount());
+    m_state.isLeaving = true;
+    m_leavingSince = monotonicNow();
+    updateReadiness();
+    m_store.remove(m_port.memberKind, m_state.settings.instance.value(), [](const auto&) {});
+    leaveStep();
+}
+
+void serving_node::leaveStep()
+{
+    const auto passed = monotonicNow() - m_leavingSince;
+    const auto grace = m_state.settings.bounds.gracePeriod;
+    if (passed >= std::min<microseconds>(leastLeave, partOf(grace, acceptPart))) {
+        m_callers.stopAccepting();
+        m_callers.endConnections();
+    }
+    const bool isDone = passed >= leastLeave && !m_callers.isBusy();
+    if (isDone || passed >= partOf(grace, finishPart)) {
+        end();
+        return;
+    }
+    m_leaveTimer.expires_after(leaveInterval);
+    m_leaveTimer.async_wait([this](const boost::system::error_code& cancelled) {
+        if (!cancelled)
+            leaveStep();
+    });
+}
+
+void serving_node::end()
+{
+    event_line(log_level::info, "node.ended").with("busy", m_callers.isBusy() ? 1 : 0);
+    m_watch.stop();
+    m_gossip.stop();
+    m_loop.stop();
+}
+
+} // namespace flamingoroute
--- /dev/null
+++ b/src/flamingoroute/runtime/serving_node.hpp
@@ -0,0 +1,65 @@
+#ifndef FLAMINGOROUTE_RUNTIME_SERVING_NODE_HPP
+#define FLAMINGOROUTE_RUNTIME_SERVING_NODE_HPP
+
+#include "flamingoroute/model/error.hpp"
+#include "flamingoroute/proxy/http_listener.hpp"
+#include "flamingoroute/runtime/fleet_gossip.hpp"
+#include "flamingoroute/runtime/fleet_port.hpp"
+#include "flamingoroute/runtime/fleet_watch.hpp"
+#include "flamingoroute/serving/serving_state.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <tl/expected.hpp>
+
+namespace flamingoroute {
+
+/// A process that serves callers, look-ups and readiness checks on one event loop.
+class serving_node {
+public:
+    /// @param store outlives the node
+    serving_node(boost::asio::io_context& loop, const node_settings& settings, fleet_port port, watched_store& store);
+
+    /// Opens the listeners and begins to read the store.
+    tl::expected<void, error> start();
+
+private:
+    void registerSelf();
+    void onHeard();
+    void tick();
+    void updateReadiness();
+    void writeDueOrders();
+    void forgetLostMembers();
+
+    void serve(std::shared_ptr<caller_exchange> exchange);
+    void answerLookup(const caller_exchange& exchange) const;
+    void answerReadiness(const caller_exchange& exchange) const;
+    void answerMetrics(const caller_exchange& exchange) const;
+
+    void awaitStop();
+    void leave();
+    void leaveStep();
+    void end();
+
+    boost::asio::io_context& m_loop;
+    fleet_port m_port;
+    watched_store& m_store;
+    serving_state m_state;
+    fleet_watch m_watch;
+    fleet_gossip m_gossip;
+    http_listener m_callers;
+    http_listener m_readiness;
+    http_listener m_lookups;
+    http_listener m_metrics;
+    boost::asio::signal_set m_signals;
+    boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_leaveTimer;
+    monotonic_time m_leavingSince;
+    std::map<service_id, monotonic_time> m_orderWrites; ///< when a state was last sent
+    bool m_isRegistering = false;
+};
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/serving/path_delays.cpp
@@ -0,0 +1,33 @@
+#include "flamingoroute/serving/path_delays.hpp"
+
+namespace flamingoroute {
+
+namespace {
+
+constexpr microseconds nearDelay { 2'000 };
+constexpr microseconds farDelay { 60'000 };
+constexpr int newestPart = 8;
+
+} // namespace
+
+path_delays::path_delays(region_id own)
+    : m_own(std::move(own))
+{
+}
+
+microseconds path_delays::to(const region_id& region) const
+{
+    const auto known = m_delays.find(region);
+    if (known != m_delays.end())
+        return known->second;
+    return region == m_own ? nearDelay : farDelay;
+}
+
+void path_delays::learn(const region_id& region, microseconds connectTime)
+{
+    const auto [entry, isNew] = m_delays.try_emplace(region, connectTime);
+    if (!isNew)
+        entry->second += (connectTime - entry->second) / newestPart;
+}
+
+} // namespace flamingoroute
--- /dev/null
+++ b/src/flamingoroute/serving/request_flow.hpp
@@ -0,0 +1,89 @@
+#ifndef FLAMINGOROUTE_SERVING_REQUEST_FLOW_HPP
+#define FLAMINGOROUTE_SERVING_REQUEST_FLOW_HPP
+
+#include "flamingoroute/model/ids.hpp"
+#include "flamingoroute/model/listed_upstream.hpp"
+#include "flamingoroute/model/monotonic_time.hpp"
+#include "flamingoroute/placement/attempt_report.hpp"
+#include "flamingoroute/proxy/caller_exchange.hpp"
+#include "flamingoroute/requests/attempt_outcome.hpp"
+#include "flamingoroute/routing/routing_table.hpp"
+#include "flamingoroute/serving/upstream_selector.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace flamingoroute {
+
+class client_connection;
+struct exchange_result;
+struct serving_state;
+struct upstream_answer;
+
+/// One request of a caller from its arrival to its answer: admission, attempts, retries, time limits.
+class request_flow : public std::enable_shared_from_this<request_flow> {
+public:
+    request_flow(serving_state& state, std::shared_ptr<caller_exchange> exchange);
+
+    /// Decides on the request and begins its first attempt; answers at once if none may be made.
+    void start();
+
+private:
+    bool isWellFormed();
+    bool findRule();
+    bool authenticate();
+    bool setTimeLimits();
+    bool passesQuarantine();
+    bool passesRate();
+    void describeQuery();
+
+    void attempt();
+    void send(const selection& chosen);
+    http_request outgoing(const listed_upstream& upstream) const;
+    void onResult(const exchange_result& result);
+    attempt_report reportOf(const exchange_result& result, const upstream_answer& meaning) const;
+    void learn(const exchange_result& result, const upstream_answer& meaning);
+    bool mayRetry(const upstream_answer& meaning);
+    void giveUp(const upstream_answer& meaning);
+    void endAttempt(const attempt_report& report);
+    void abandonAttempt(attempt_verdict verdict);
+
+    void armTimer();
+    void onTimer();
+    bool isUpstreamSilent(monotonic_time now) const;
+    void onTimeLimit();
+    void onGone();
+
+    void refuse(int status, const std::string& reason, milliseconds retryAfter = milliseconds(0));
+    void finish(caller_answer answer, const std::string& decision);
+    void log(const std::string& decision, int status) const;
+    std::string fingerprint() const;
+
+    serving_state& m_state;
+    std::shared_ptr<caller_exchange> m_exchange;
+    routing_table_ptr m_table;
+    const routing_rule* m_rule = nullptr;
+    const customer_policy* m_customer = nullptr;
+    std::string m_requestId;
+    selection_query m_query;
+    monotonic_time m_callerDeadline; ///< the caller waits no longer
+    monotonic_time m_limit; ///< the answer is due: the caller's deadline or the rule's timeout
+    boost::asio::steady_timer m_timer;
+
+    int m_attempts = 0; ///< upstreams that may have got the request
+    int m_tries = 0; ///< the same, with those that could not be reached
+    selection m_chosen;
+    listed_upstream m_upstream;
+    std::shared_ptr<client_connection> m_connection;
+    monotonic_time m_sentAt;
+    bool m_mayHaveRun = false; ///< some attempt ended without knowing
+    std::optional<caller_answer> m_failureAnswer; ///< an upstream's own failure, delivered if nothing better comes
+    bool m_isDone = false;
+};
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/serving/service_times.cpp
@@ -0,0 +1,48 @@
+#include "flamingoroute/serving/service_times.hpp"
+
+#include "flamingoroute/model/routing_rule.hpp"
+
+#include <algorithm>
+
+namespace flamingoroute {
+
+namespace {
+
+/// Until anything was learned, an answer is expected well within the objective if warm and about at it if cold.
+constexpr double firstWarmPart = 0.35;
+constexpr double firstColdPart = 1.1;
+constexpr double newestWeight = 0.05;
+/// An answer that takes this many times the warm time was surely not warm.
+constexpr double surelyCold = 1.8;
+constexpr double mostColdOverWarm = 6;
+
+microseconds scaled(microseconds time, double factor)
+{
+    return microseconds(static_cast<std::int64_t>(static_cast<double>(time.count()) * factor));
+}
+
+void approach(microseconds& average, microseconds sample) { average += scaled(sample - average, newestWeight); }
+
+} // namespace
+
+service_times::estimate service_times::of(const routing_rule& rule) const
+{
+    const auto known = m_estimates.find(rule.name);
+    if (known != m_estimates.end())
+        return known->second;
+    const microseconds objective = rule.objective;
+    return { scaled(objective, firstWarmPart), scaled(objective, firstColdPart) };
+}
+
+void service_times::learn(const routing_rule& rule, microseconds taken, bool isKnownWarm)
+{
+    auto& known = m_estimates.try_emplace(rule.name, of(rule)).first->second;
+    const microseconds bounded = std::min(taken, scaled(rule.objective, mostColdOverWarm));
+    if (isKnownWarm)
+        approach(known.warm, bounded);
+    else if (bounded > scaled(known.warm, surelyCold))
+        approach(known.cold, bounded);
+    known.cold = std::clamp(known.cold, known.warm, scaled(known.warm, mostColdOverWarm));
+}
+
+} // namespace flamingoroute
--- /dev/null
+++ b/src/flamingoroute/serving/serving_state.hpp
@@ -0,0 +1,67 @@
+#ifndef FLAMINGOROUTE_SERVING_SERVING_STATE_HPP
+#define FLAMINGOROUTE_SERVING_SERVING_STATE_HPP
+
+#include "flamingoroute/fleet/fleet_members.hpp"
+#include "flamingoroute/fleet/rate_split.hpp"
+#include "flamingoroute/fleet/retry_split.hpp"
+#include "flamingoroute/moves/version_gate.hpp"
+#include "flamingoroute/placement/cold_gate.hpp"
+#include "flamingoroute/placement/upstream_directory.hpp"
+#include "flamingoroute/proxy/header_names.hpp"
+#include "flamingoroute/requests/quarantine_table.hpp"
+#include "flamingoroute/routing/routing_table.hpp"
+#include "flamingoroute/serving/object_memory.hpp"
+#include "flamingoroute/serving/path_delays.hpp"
+#include "flamingoroute/serving/service_times.hpp"
+#include "flamingoroute/serving/serving_counters.hpp"
+#include "flamingoroute/serving/upstream_links.hpp"
+#include "flamingoroute/settings/node_settings.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+
+namespace flamingoroute {
+
+/// All that the requests of one node share. Touched by the event loop's thread only.
+struct serving_state {
+    serving_state(boost::asio::io_context& ioContext, const node_settings& nodeSettings, const header_names& names,
+        const member& self)
+        : loop(ioContext)
+        , settings(nodeSettings)
+        , headers(names)
+        , upstreams(nodeSettings.regions)
+        , versions(nodeSettings.bounds.exposureShare)
+        , members(self)
+        , retries(nodeSettings.bounds)
+        , cold(nodeSettings.instance, nodeSettings.bounds.coldOvershoot, nodeSettings.bounds.coldSlack)
+        , quarantine(quarantine_limits {})
+        , paths(nodeSettings.region)
+        , links(ioContext, names.requestId)
+    {
+    }
+
+    boost::asio::io_context& loop;
+    node_settings settings;
+    header_names headers;
+    routing_table_ptr table; ///< null until a configuration is in force
+    upstream_directory upstreams;
+    version_gate versions;
+    fleet_members members;
+    rate_split rates;
+    retry_split retries;
+    cold_gate cold;
+    quarantine_table quarantine;
+    service_times times;
+    object_memory objects;
+    path_delays paths;
+    upstream_links links;
+    serving_counters counters;
+    bool isLeaving = false; ///< answers end their connections
+    /// Tells the other instances that an upstream broke off under a request.
+    std::function<void(const std::string& fingerprint, const upstream_id& upstream)> announceBroken;
+};
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/serving/upstream_selector.cpp
@@ -0,0 +1,137 @@
+#include "flamingoroute/serving/upstream_selector.hpp"
+
+#include "flamingoroute/placement/placement.hpp"
+#include "flamingoroute/placement/region_shares.hpp"
+#include "flamingoroute/serving/serving_state.hpp"
+
+#include <algorithm>
+
+namespace flamingoroute {
+
+namespace {
+
+/// With objects at hand, the work of a well used service fills about this part of all slots.
+constexpr double expectedLoad = 0.45;
+constexpr double coldSlowness = 2;
+
+std::map<region_id, region_room> roomsOf(
+    const std::vector<const upstream_state*>& upstreams, const std::map<failure_domain_id, region_id>& regions)
+{
+    std::map<region_id, region_room> rooms;
+    for (const auto& [domain, region] : regions)
+        rooms[region].demand += 1.0 / static_cast<double>(regions.size());
+    for (const auto* upstream : upstreams)
+        rooms[upstream->region].slots += upstream->listed.slots;
+    return rooms;
+}
+
+template <typename Test>
+std::vector<const upstream_state*> keepIf(const std::vector<const upstream_state*>& upstreams, Test test)
+{
+    std::vector<const upstream_state*> kept;
+    std::copy_if(upstreams.begin(), upstreams.end(), std::back_inserter(kept), test);
+    return kept;
+}
+
+/// Narrows @p upstreams to those that pass @p test, unless none does.
+template <typename Test> void prefer(std::vector<const upstream_state*>& upstreams, Test test)
+{
+    auto kept = keepIf(upstreams, test);
+    if (!kept.empty())
+        upstreams = std::move(kept);
+}
+
+} // namespace
+
+upstream_selector::upstream_selector(serving_state& state)
+    : m_state(state)
+{
+}
+
+bool upstream_selector::isAllowed(const upstream_state& upstream, const selection_query& query,
+    const version_filter& versions, monotonic_time now) const
+{
+    return m_state.upstreams.isEligible(upstream) && !query.tried.contains(upstream.listed.name)
+        && (!query.homes || query.homes->contains(upstream.region))
+        && !versions.excluded.contains(upstream.listed.version) && passesColdGate(upstream, query, now);
+}
+
+bool upstream_selector::passesColdGate(
+    const upstream_state& upstream, const selection_query& query, monotonic_time now) const
+{
+    if (now >= upstream.coldUntil)
+        return true;
+    const auto* policy = m_state.table->findService(query.service);
+    if (policy == nullptr)
+        return true;
+    auto near = m_state.members.namesIn(upstream.region);
+    if (near.empty())
+        near.push_back(m_state.settings.instance);
+    return m_state.cold.mayTake(upstream.listed.name, near, policy->coldRate, now);
+}
+
+std::vector<const upstream_state*> upstream_selector::allowedUpstreams(
+    const selection_query& query, monotonic_time now) const
+{
+    const auto versions = m_state.versions.filterFor(query.service, query.requestHash, now);
+    auto allowed = keepIf(m_state.upstreams.ofService(query.service),
+        [&](const upstream_state* upstream) { return isAllowed(*upstream, query, versions, now); });
+    prefer(allowed, [&](const upstream_state* upstream) { return upstream->avoidUntil <= now; });
+    if (versions.preferred)
+        prefer(allowed, [&](const upstream_state* upstream) { return upstream->listed.version == *versions.preferred; });
+    if (versions.avoided)
+        prefer(allowed, [&](const upstream_state* upstream) { return upstream->listed.version != *versions.avoided; });
+    return allowed;
+}
+
+std::vector<placement_candidate> upstream_selector::candidatesOf(
+    const std::vector<const upstream_state*>& upstreams, const selection_query& query, monotonic_time now) const
+{
+    const auto rooms = roomsOf(upstreams, m_state.settings.regions);
+    const auto shares = regionShares(rooms, m_state.settings.region, expectedLoad);
+    std::vector<placement_candidate> candidates;
+    candidates.reserve(upstreams.size());
+    for (const auto* upstream : upstreams) {
+        placement_candidate candidate;
+        candidate.name = upstream->listed.name;
+        candidate.slots = upstream->listed.slots;
+        candidate.weight = shares.at(upstream->region) * upstream->listed.slots / rooms.at(upstream->region).slots;
+        candidate.load = estimatedLoad(*upstream, now);
+        candidate.slowness = upstream->slowness * (now < upstream->coldUntil ? coldSlowness : 1);
+        candidate.failureShare = upstream->failureShare;
+        candidate.pathDelay = m_state.paths.to(upstream->region);
+        candidate.isWarm = m_state.objects.knows(upstream->listed.name, query.objectHash, now);
+        candidates.push_back(candidate);
+    }
+    return candidates;
+}
+
+selection upstream_selector::select(const selection_query& query, monotonic_time now) const
+{
+    selection result;
+    const auto allowed = allowedUpstreams(query, now);
+    if (allowed.empty())
+        return result;
+    const auto candidates = candidatesOf(allowed, query, now);
+    const auto times = m_state.times.of(*query.rule);
+    placement_request request;
+    request.objectHash = query.objectHash;
+    request.isSticky = query.rule->isSticky;
+    request.warmTime = times.warm;
+    request.coldTime = query.rule->isSticky ? times.cold : times.warm;
+    request.objective = query.objective;
+    request.timeLeft = query.timeLeft;
+    request.patience = query.patience;
+    const auto choice = choosePlacement(request, candidates);
+    result.expected = choice.expected;
+    result.wait = choice.wait;
+    result.reason = choice.index ? selection_reason::chosen : selection_reason::no_room;
+    if (!choice.index)
+        return result;
+    result.upstream = candidates[*choice.index].name;
+    result.isKnownWarm = candidates[*choice.index].isWarm;
+    result.isCold = now < allowed[*choice.index]->coldUntil;
+    return result;
+}
+
+} // namespace flamingoroute
--- /dev/null
+++ b/src/flamingoroute/serving/upstream_selector.hpp
@@ -0,0 +1,69 @@
+#ifndef FLAMINGOROUTE_SERVING_UPSTREAM_SELECTOR_HPP
+#define FLAMINGOROUTE_SERVING_UPSTREAM_SELECTOR_HPP
+
+#include "flamingoroute/model/ids.hpp"
+#include "flamingoroute/model/monotonic_time.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace flamingoroute {
+
+struct placement_candidate;
+struct placement_request;
+struct routing_rule;
+struct serving_state;
+struct upstream_state;
+struct version_filter;
+
+/// What the choice of an upstream depends on, besides the node's state.
+struct selection_query {
+    const routing_rule* rule = nullptr;
+    service_id service;
+    std::optional<std::set<region_id>> homes; ///< regions that may serve it; nothing: all
+    std::uint64_t objectHash = 0;
+    std::uint64_t requestHash = 0;
+    std::set<upstream_id> tried; ///< not again
+    microseconds objective { 0 }; ///< time left in which an answer has its full value
+    microseconds timeLeft { 0 };
+    double patience = 1; ///< part of the objective that it may spend waiting
+};
+
+enum class selection_reason {
+    chosen,
+    no_upstream, ///< none may get the request
+    no_room, ///< an answer would come too late
+};
+
+struct selection {
+    selection_reason reason = selection_reason::no_upstream;
+    upstream_id upstream;
+    microseconds expected { 0 };
+    microseconds wait { 0 };
+    bool isKnownWarm = false;
+    bool isCold = false; ///< the upstream itself, for want of requests since its start
+};
+
+/// Chooses the upstream that gets a request: filters by what rules allow, then places by affinity.
+class upstream_selector {
+public:
+    explicit upstream_selector(serving_state& state);
+
+    selection select(const selection_query& query, monotonic_time now) const;
+
+private:
+    bool isAllowed(const upstream_state& upstream, const selection_query& query, const version_filter& versions,
+        monotonic_time now) const;
+    bool passesColdGate(const upstream_state& upstream, const selection_query& query, monotonic_time now) const;
+    std::vector<const upstream_state*> allowedUpstreams(const selection_query& query, monotonic_time now) const;
+    std::vector<placement_candidate> candidatesOf(const std::vector<const upstream_state*>& upstreams,
+        const selection_query& query, monotonic_time now) const;
+
+    serving_state& m_state;
+};
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/settings/node_settings.hpp
@@ -0,0 +1,35 @@
+#ifndef FLAMINGOROUTE_SETTINGS_NODE_SETTINGS_HPP
+#define FLAMINGOROUTE_SETTINGS_NODE_SETTINGS_HPP
+
+#include "flamingoroute/model/endpoint.hpp"
+#include "flamingoroute/model/ids.hpp"
+#include "flamingoroute/settings/fleet_bounds.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+
+namespace flamingoroute {
+
+/// What a node knows at its start.
+struct node_settings {
+    instance_id instance;
+    failure_domain_id failureDomain;
+    region_id region;
+    endpoint callers; ///< listens for callers
+    endpoint readiness; ///< listens for readiness checks
+    endpoint lookups; ///< listens for look-ups
+    endpoint peers; ///< listens for other instances
+    endpoint metrics; ///< listens for metrics
+    endpoint store; ///< the platform's object API
+    std::map<failure_domain_id, region_id> regions; ///< of each failure domain
+    std::size_t descriptors = 1024; ///< files and sockets that the process may open
+    bool isFirstStart = false; ///< the whole system starts for the first time
+    fleet_bounds bounds;
+
+    bool operator==(const node_settings&) const = default;
+};
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/store/fleet_object.hpp
@@ -0,0 +1,23 @@
+#ifndef FLAMINGOROUTE_STORE_FLEET_OBJECT_HPP
+#define FLAMINGOROUTE_STORE_FLEET_OBJECT_HPP
+
+#include <Poco/JSON/Object.h>
+
+#include <cstdint>
+#include <string>
+
+namespace flamingoroute {
+
+/// An object of the platform's API as a watch or a list shows it.
+struct fleet_object {
+    std::string name;
+    std::uint64_t revision = 0; ///< of its last change
+    Poco::JSON::Object::Ptr specification; ///< null if there is none, or if it is no JSON object
+    Poco::JSON::Object::Ptr status; ///< the same
+
+    bool operator==(const fleet_object&) const = default;
+};
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/store/object_event.hpp
@@ -0,0 +1,28 @@
+#ifndef FLAMINGOROUTE_STORE_OBJECT_EVENT_HPP
+#define FLAMINGOROUTE_STORE_OBJECT_EVENT_HPP
+
+#include "flamingoroute/store/fleet_object.hpp"
+
+#include <vector>
+
+namespace flamingoroute {
+
+/// A change of one object.
+struct object_event {
+    bool isDeleted = false;
+    fleet_object object;
+
+    bool operator==(const object_event&) const = default;
+};
+
+/// What a watch returned.
+struct object_events {
+    std::vector<object_event> events;
+    std::uint64_t revision = 0; ///< to go on from
+
+    bool operator==(const object_events&) const = default;
+};
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/store/object_page.hpp
@@ -0,0 +1,21 @@
+#ifndef FLAMINGOROUTE_STORE_OBJECT_PAGE_HPP
+#define FLAMINGOROUTE_STORE_OBJECT_PAGE_HPP
+
+#include "flamingoroute/store/fleet_object.hpp"
+
+#include <vector>
+
+namespace flamingoroute {
+
+/// A part of a list of objects.
+struct object_page {
+    std::vector<fleet_object> objects;
+    bool hasMore = false;
+    std::uint64_t revision = 0; ///< the store's, to watch from
+
+    bool operator==(const object_page&) const = default;
+};
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/store/object_watcher.cpp
@@ -0,0 +1,113 @@
+#include "flamingoroute/store/object_watcher.hpp"
+
+#include "flamingoroute/report/event_log.hpp"
+
+#include <algorithm>
+
+namespace flamingoroute {
+
+namespace {
+
+constexpr milliseconds firstPause { 100 };
+constexpr milliseconds longestPause { 1000 };
+constexpr int longestPauseFailures = 4;
+
+} // namespace
+
+object_watcher::object_watcher(boost::asio::io_context& loop, watched_store& store, std::string kind, handlers handle,
+    std::function<double()> random)
+    : m_store(store)
+    , m_kind(std::move(kind))
+    , m_handle(std::move(handle))
+    , m_random(std::move(random))
+    , m_timer(loop)
+{
+}
+
+void object_watcher::start() { list(std::string()); }
+
+void object_watcher::stop()
+{
+    m_isStopped = true;
+    m_timer.cancel();
+}
+
+void object_watcher::list(const std::string& after)
+{
+    if (after.empty())
+        m_pages.clear();
+    m_store.list(m_kind, after, [self = shared_from_this()](const auto& page) { self->onPage(page); });
+}
+
+void object_watcher::onPage(const tl::expected<object_page, error>& page)
+{
+    if (m_isStopped)
+        return;
+    if (!page) {
+        onFailure(page.error());
+        return;
+    }
+    if (m_pages.empty())
+        m_pagesRevision = page->revision;
+    m_pages.insert(m_pages.end(), page->objects.begin(), page->objects.end());
+    if (page->hasMore && !page->objects.empty()) {
+        list(page->objects.back().name);
+        return;
+    }
+    if (m_failures > 0 || !m_hasListed)
+        event_line(log_level::info, "store.listed").with("kind", m_kind).with("revision", m_pagesRevision);
+    m_failures = 0;
+    m_hasListed = true;
+    m_mustList = false;
+    m_revision = m_pagesRevision;
+    const auto objects = std::exchange(m_pages, {});
+    m_handle.onList(objects);
+    watch();
+}
+
+void object_watcher::watch()
+{
+    m_store.watch(m_kind, m_revision, [self = shared_from_this()](const auto& events) { self->onEvents(events); });
+}
+
+void object_watcher::onEvents(const tl::expected<object_events, error>& events)
+{
+    if (m_isStopped)
+        return;
+    if (!events) {
+        onFailure(events.error());
+        return;
+    }
+    if (m_failures > 0)
+        event_line(log_level::info, "store.regained").with("kind", m_kind).with("revision", events->revision);
+    m_failures = 0;
+    m_revision = std::max(m_revision, events->revision);
+    for (const auto& event : events->events)
+        m_handle.onEvent(event);
+    watch();
+}
+
+void object_watcher::onFailure(const error& failure)
+{
+    if (failure.code == error_code::expired)
+        m_mustList = true;
+    if (m_failures == 0)
+        event_line(log_level::warn, "store.lost").with("kind", m_kind).with("revision", m_revision).with(failure);
+    ++m_failures;
+    const auto growing = firstPause * (1 << std::min(m_failures - 1, longestPauseFailures));
+    const auto pause = std::min(longestPause, growing);
+    constexpr double leastPart = 0.5;
+    const double part = leastPart + (1 - leastPart) * m_random();
+    m_timer.expires_after(
+        microseconds(static_cast<std::int64_t>(static_cast<double>(microseconds(pause).count()) * part)));
+    m_timer.async_wait([self = shared_from_this()](const boost::system::error_code& cancelled) {
+        if (cancelled || self->m_isStopped)
+            return;
+        if (self->m_mustList)
+            self->list(std::string());
+        else
+            self->watch();
+    });
+}
+
+} // namespace flamingoroute
--- /dev/null
+++ b/src/flamingoroute/store/object_watcher.hpp
@@ -0,0 +1,66 @@
+#ifndef FLAMINGOROUTE_STORE_OBJECT_WATCHER_HPP
+#define FLAMINGOROUTE_STORE_OBJECT_WATCHER_HPP
+
+#include "flamingoroute/model/monotonic_time.hpp"
+#include "flamingoroute/store/watched_store.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace flamingoroute {
+
+/// Keeps up with all objects of one kind: lists them, then watches for changes, and lists anew when history is gone.
+/// Goes on through outages with growing pauses.
+class object_watcher : public std::enable_shared_from_this<object_watcher> {
+public:
+    struct handlers {
+        /// Called with all objects after each list.
+        std::function<void(const std::vector<fleet_object>&)> onList;
+        /// Called for each change, in order.
+        std::function<void(const object_event&)> onEvent;
+    };
+
+    /// @param random a number from 0 to 1, to spread the retries of many instances
+    object_watcher(boost::asio::io_context& loop, watched_store& store, std::string kind, handlers handle,
+        std::function<double()> random);
+
+    void start();
+
+    /// Calls nothing any more.
+    void stop();
+
+    /// @return whether the last call to the store succeeded
+    bool isConnected() const { return m_failures == 0 && m_hasListed; }
+
+    /// @return whether the objects were listed at least once
+    bool hasListed() const { return m_hasListed; }
+
+private:
+    void list(const std::string& after);
+    void onPage(const tl::expected<object_page, error>& page);
+    void watch();
+    void onEvents(const tl::expected<object_events, error>& events);
+    void onFailure(const error& failure);
+
+    watched_store& m_store;
+    std::string m_kind;
+    handlers m_handle;
+    std::function<double()> m_random;
+    boost::asio::steady_timer m_timer;
+    std::vector<fleet_object> m_pages;
+    std::uint64_t m_pagesRevision = 0;
+    std::uint64_t m_revision = 0;
+    int m_failures = 0;
+    bool m_hasListed = false;
+    bool m_mustList = true;
+    bool m_isStopped = false;
+};
+
+} // namespace flamingoroute
+
+#endif
--- /dev/null
+++ b/src/flamingoroute/store/watched_store.hpp
@@ -0,0 +1,52 @@
+#ifndef FLAMINGOROUTE_STORE_WATCHED_STORE_HPP
+#define FLAMINGOROUTE_STORE_WATCHED_STORE_HPP
+
+#include "flamingoroute/model/error.hpp"
+#include "flamingoroute/store/object_event.hpp"
+#include "flamingoroute/store/object_page.hpp"
+
+#include <tl/expected.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace flamingoroute {
+
+/// The platform's object API for an event loop: each call returns at once and answers through a callback, once.
+///
+/// Errors: `conflict` if a condition did not hold, `not_found`, `unavailable` if the call surely had no effect,
+/// `outcome_unknown` if a write may take effect, `expired` if a watch asked for history that is gone.
+class watched_store {
+public:
+    using page_callback = std::function<void(tl::expected<object_page, error>)>;
+    using events_callback = std::function<void(tl::expected<object_events, error>)>;
+    using write_callback = std::function<void(tl::expected<std::uint64_t, error>)>;
+
+    virtual ~watched_store() = default;
+
+    /// Lists objects of @p kind, sorted by name, from the one behind @p after on.
+    virtual void list(const std::string& kind, const std::string& after, page_callback done) = 0;
+
+    /// Waits for changes after revision @p after; the answer is empty if there were none for a while.
+    virtual void watch(const std::string& kind, std::uint64_t after, events_callback done) = 0;
+
+    /// Creates or replaces an object's specification, whatever it holds.
+    /// @param specification JSON
+    virtual void put(
+        const std::string& kind, const std::string& name, const std::string& specification, write_callback done)
+        = 0;
+
+    /// Replaces an object's status if it still has @p revision.
+    /// @param status JSON
+    virtual void putStatus(const std::string& kind, const std::string& name, const std::string& status,
+        std::uint64_t revision, write_callback done)
+        = 0;
+
+    /// Deletes an object.
+    virtual void remove(const std::string& kind, const std::string& name, write_callback done) = 0;
+};
+
+} // namespace flamingoroute
+
+#endif
