--- a/src/flamingoroute/fleet/rate_split.hpp
+++ b/src/flamingoroute/fleet/rate_split.hpp
@@ -3,6 +3,7 @@
 
 #include "flamingoroute/model/customer_policy.hpp"
 #include "flamingoroute/model/monotonic_time.hpp"
+#include "flamingoroute/settings/fleet_bounds.hpp"
 
 #include <map>
 
@@ -28,6 +29,10 @@
 /// Admits requests of customers within their fleet-wide rates, by this instance's part of each. Pure.
 class rate_split {
 public:
+    /// @param bounds what the fleet may admit beyond a rate and its burst
+    /// @param startedAt the start of the process; tokens are minted from then on
+    rate_split(const fleet_bounds& bounds, monotonic_time startedAt);
+
     /// Counts a request and admits it, or says when to come again.
     /// @param view of the fleet for this customer
     /// @return zero if admitted
@@ -44,9 +49,13 @@
         double tokens = 0;
         double demand = 0; ///< requests a second, smoothed
         monotonic_time at;
-        bool isNew = true;
     };
 
+    double fleetDepth(const customer_policy& customer) const;
+
+    fleet_bounds m_bounds;
+    monotonic_time m_startedAt;
+
     std::map<customer_id, account> m_accounts;
 };
 
--- a/src/flamingoroute/serving/serving_state.hpp
+++ b/src/flamingoroute/serving/serving_state.hpp
@@ -33,6 +33,7 @@
         , upstreams(nodeSettings.regions)
         , versions(nodeSettings.bounds.exposureShare)
         , members(self)
+        , rates(nodeSettings.bounds, monotonicNow())
         , retries(nodeSettings.bounds)
         , cold(nodeSettings.instance, nodeSettings.bounds.coldOvershoot, nodeSettings.bounds.coldSlack)
         , quarantine(quarantine_limits {})
