List anew after a failed watch instead of going on from the last revision

Ruled out: the retry pause (0.1 s), a lost adoption (the list shows the version at once). The price is one list a kind after each cut watch.

--- a/src/flamingoroute/runtime/fleet_watch.cpp
+++ b/src/flamingoroute/runtime/fleet_watch.cpp
@@ -192,7 +192,10 @@
             coldTime = std::max(coldTime, service.coldTime);
     }
     m_state.upstreams.setEvacuated(m_evacuated, coldTime, monotonicNow());
-    event_line(log_level::info, "evacuations.read").with("count", m_evacuated.size());
+    event_line line(log_level::info, "evacuations.read");
+    line.with("count", m_evacuated.size());
+    for (const auto& domain : m_evacuated)
+        line.with("failure_domain", domain.value());
 }
 
 void fleet_watch::takeMembers(const std::vector<fleet_object>& objects)
--- a/src/flamingoroute/store/object_watcher.cpp
+++ b/src/flamingoroute/store/object_watcher.cpp
@@ -58,7 +58,6 @@
         event_line(log_level::info, "store.listed").with("kind", m_kind).with("revision", m_pagesRevision);
     m_failures = 0;
     m_hasListed = true;
-    m_mustList = false;
     m_revision = m_pagesRevision;
     const auto objects = std::exchange(m_pages, {});
     m_handle.onList(objects);
@@ -78,9 +77,6 @@
         onFailure(events.error());
         return;
     }
-    if (m_failures > 0)
-        event_line(log_level::info, "store.regained").with("kind", m_kind).with("revision", events->revision);
-    m_failures = 0;
     m_revision = std::max(m_revision, events->revision);
     for (const auto& event : events->events)
         m_handle.onEvent(event);
@@ -89,8 +85,6 @@
 
 void object_watcher::onFailure(const error& failure)
 {
-    if (failure.code == error_code::expired)
-        m_mustList = true;
     if (m_failures == 0)
         event_line(log_level::warn, "store.lost").with("kind", m_kind).with("revision", m_revision).with(failure);
     ++m_failures;
@@ -103,10 +97,8 @@
     m_timer.async_wait([self = shared_from_this()](const boost::system::error_code& cancelled) {
         if (cancelled || self->m_isStopped)
             return;
-        if (self->m_mustList)
-            self->list(std::string());
-        else
-            self->watch();
+        // Not watch() from the last revision: a store that has just dropped its history may let such a watch wait.
+        self->list(std::string());
     });
 }
 
--- a/src/flamingoroute/store/object_watcher.hpp
+++ b/src/flamingoroute/store/object_watcher.hpp
@@ -14,7 +14,7 @@
 
 namespace flamingoroute {
 
-/// Keeps up with all objects of one kind: lists them, then watches for changes, and lists anew when history is gone.
+/// Keeps up with all objects of one kind: lists them, then watches for changes, and lists anew after each failed watch.
 /// Goes on through outages with growing pauses.
 class object_watcher : public std::enable_shared_from_this<object_watcher> {
 public:
@@ -57,7 +57,6 @@
     std::uint64_t m_revision = 0;
     int m_failures = 0;
     bool m_hasListed = false;
-    bool m_mustList = true;
     bool m_isStopped = false;
 };
 
