Keep roll-outs to the fleet's time across restarts, and end open requests before the grace period does

All instances were restarted in turn during a roll-out; each counted the order's time from its own start, so the last ones completed a bad version that had got only their own requests and did not show its fault. A request that its upstream never finished held back a ready answer behind it on one connection until the process was killed; the process itself hung in closing nng's sockets. Ruled out: lost tallies (reports arrive), the verdict's thresholds. Change: reports carry the age of each order and the greatest counts; open requests are answered at 0.87 of the grace period; the process ends without waiting for nng.

--- a/apps/flamingo_node.cpp
+++ b/apps/flamingo_node.cpp
@@ -9,6 +9,7 @@
 #include <gflags/gflags.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 
 DEFINE_string(settings, "", "settings file of the platform, TOML; default: what the platform's variable names");
@@ -35,7 +36,9 @@
         return exit_code::unavailable;
     }
     loop.run();
-    return exit_code::done;
+    // Not by return: closing nng's sockets waits for peers that may be gone, beyond the time that a stop has.
+    stopLogging();
+    std::_Exit(static_cast<int>(exit_code::done));
 }
 
 } // namespace
--- a/src/flamingoroute/fleet/fleet_report.hpp
+++ b/src/flamingoroute/fleet/fleet_report.hpp
@@ -25,9 +25,10 @@
     std::uint32_t attempts = 0;
     std::uint32_t failures = 0;
     std::uint32_t slow = 0;
+    std::uint64_t ageMs = 0; ///< since the order was first seen by any instance, as far as the sender knows
 
     bool operator==(const version_tally&) const = default;
-    MSGPACK_DEFINE(service, version, attempts, failures, slow)
+    MSGPACK_DEFINE(service, version, attempts, failures, slow, ageMs)
 };
 
 /// What an instance tells the others of itself, twice a second. Each report holds all, so that a lost one is no loss.
--- a/src/flamingoroute/moves/version_gate.cpp
+++ b/src/flamingoroute/moves/version_gate.cpp
@@ -120,13 +120,13 @@
     own.slow += sample == version_sample::slow ? 1 : 0;
 }
 
-std::vector<version_tally> version_gate::tallies() const
+std::vector<version_tally> version_gate::tallies(monotonic_time now) const
 {
     std::vector<version_tally> result;
     for (const auto& [service, running] : m_orders) {
         if (running.order.state == version_order_state::running)
             result.push_back({ service.value(), running.order.target.value(), running.own.attempts,
-                running.own.failures, running.own.slow });
+                running.own.failures, running.own.slow, ageOf(running, now) });
     }
     return result;
 }
@@ -139,13 +139,20 @@
     return fails || isSlow;
 }
 
-void version_gate::judge(const std::vector<version_tally>& others)
+std::uint64_t version_gate::ageOf(const running_order& running, monotonic_time now)
+{
+    const auto age = std::chrono::duration_cast<milliseconds>(now - running.since);
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, age.count()));
+}
+
+void version_gate::judge(const std::vector<version_tally>& others, monotonic_time now)
 {
     for (auto& [service, running] : m_orders) {
         running.fleet = running.own;
         for (const auto& other : others) {
             if (other.service != service.value() || other.version != running.order.target.value())
                 continue;
+            running.since = std::min<monotonic_time>(running.since, now - milliseconds(other.ageMs));
             running.fleet.attempts += other.attempts;
             running.fleet.failures += other.failures;
             running.fleet.slow += other.slow;
--- a/src/flamingoroute/moves/version_gate.hpp
+++ b/src/flamingoroute/moves/version_gate.hpp
@@ -54,11 +54,12 @@
     /// Counts an attempt, if its version is under an order.
     void noteAttempt(const service_id& service, const version_id& version, version_sample sample);
 
-    /// @return the counts of this instance
-    std::vector<version_tally> tallies() const;
+    /// @return the counts of this instance, and how old it takes the orders to be
+    std::vector<version_tally> tallies(monotonic_time now) const;
 
-    /// Takes what the others counted and judges the running orders.
-    void judge(const std::vector<version_tally>& others);
+    /// Takes what the others counted and judges the running orders. The greatest age of an order counts, so that an
+    /// instance that has just started keeps to the fleet's time.
+    void judge(const std::vector<version_tally>& others, monotonic_time now);
 
     /// @return orders whose state in the store should become the returned one
     std::vector<version_order> dueStates(monotonic_time now) const;
@@ -82,6 +83,7 @@
     };
 
     bool isSwitchDue(const running_order& running, monotonic_time now) const;
+    static std::uint64_t ageOf(const running_order& running, monotonic_time now);
     static bool isBad(const tally& counts);
 
     double m_canaryShare;
--- a/src/flamingoroute/report/event_log.cpp
+++ b/src/flamingoroute/report/event_log.cpp
@@ -79,6 +79,11 @@
     root.setLogLevel(levelNamed(level));
 }
 
+void stopLogging()
+{
+    log4cplus::Logger::shutdown();
+}
+
 event_line::event_line(log_level level, const std::string& event)
     : m_level(level)
     , m_line("event=" + event)
--- a/src/flamingoroute/report/event_log.hpp
+++ b/src/flamingoroute/report/event_log.hpp
@@ -23,6 +23,9 @@
 /// @param level "debug", "info", "warn" or "error"
 void startLogging(const std::string& program, const std::string& instance, const std::string& level);
 
+/// Writes out what is left. Nothing may be logged after it.
+void stopLogging();
+
 /// One event, written as a line of key=value pairs when it goes out of scope.
 ///
 ///     event_line(log_level::info, "config.adopted").with("revision", 12);
--- a/src/flamingoroute/runtime/fleet_gossip.cpp
+++ b/src/flamingoroute/runtime/fleet_gossip.cpp
@@ -80,7 +80,7 @@
         if (perSecond >= leastDemand)
             report.demand.push_back({ customer.value(), perSecond });
     }
-    report.tallies = m_state.versions.tallies();
+    report.tallies = m_state.versions.tallies(monotonicNow());
     return report;
 }
 
--- a/src/flamingoroute/runtime/serving_node.cpp
+++ b/src/flamingoroute/runtime/serving_node.cpp
@@ -17,7 +17,8 @@
 constexpr milliseconds lookupTtl { 1500 };
 /// Parts of the grace period: new connections are taken until the first, requests are finished until the second.
 constexpr double acceptPart = 0.5;
-constexpr double finishPart = 0.9;
+constexpr double finishPart = 0.87;
+constexpr double endPart = 0.95;
 /// The least time before a leaving instance ends, for callers that have just been told of it.
 constexpr milliseconds leastLeave { 2000 };
 constexpr milliseconds orderWriteRetry { 700 };
@@ -123,10 +124,11 @@
 
 void serving_node::onHeard()
 {
+    const auto now = monotonicNow();
     std::vector<version_tally> tallies;
-    for (const auto& report : m_state.members.freshReports(monotonicNow()))
+    for (const auto& report : m_state.members.freshReports(now))
         tallies.insert(tallies.end(), report.tallies.begin(), report.tallies.end());
-    m_state.versions.judge(tallies);
+    m_state.versions.judge(tallies, now);
 }
 
 void serving_node::writeDueOrders()
@@ -246,8 +248,10 @@
         m_callers.stopAccepting();
         m_callers.endConnections();
     }
+    if (passed >= partOf(grace, finishPart))
+        endRequests();
     const bool isDone = passed >= leastLeave && !m_callers.isBusy();
-    if (isDone || passed >= partOf(grace, finishPart)) {
+    if (isDone || passed >= partOf(grace, endPart)) {
         end();
         return;
     }
@@ -258,11 +262,20 @@
     });
 }
 
+void serving_node::endRequests()
+{
+    // A request that its upstream does not finish in time must not hold back the answers behind it.
+    const auto flows = m_state.openRequests;
+    for (const auto& weak : flows) {
+        if (const auto flow = weak.second.lock())
+            flow->endEarly();
+    }
+}
+
 void serving_node::end()
 {
     event_line(log_level::info, "node.ended").with("busy", m_callers.isBusy() ? 1 : 0);
     m_watch.stop();
-    m_gossip.stop();
     m_loop.stop();
 }
 
--- a/src/flamingoroute/runtime/serving_node.hpp
+++ b/src/flamingoroute/runtime/serving_node.hpp
@@ -40,6 +40,7 @@
     void awaitStop();
     void leave();
     void leaveStep();
+    void endRequests();
     void end();
 
     boost::asio::io_context& m_loop;
--- a/src/flamingoroute/serving/request_flow.cpp
+++ b/src/flamingoroute/serving/request_flow.cpp
@@ -87,8 +87,17 @@
 {
 }
 
+request_flow::~request_flow() { m_state.openRequests.erase(this); }
+
+void request_flow::endEarly()
+{
+    if (!m_isDone)
+        onTimeLimit();
+}
+
 void request_flow::start()
 {
+    m_state.openRequests.emplace(this, weak_from_this());
     m_exchange->onGone = [self = shared_from_this()] { self->onGone(); };
     if (!isWellFormed() || !findRule() || !authenticate() || !setTimeLimits() || !passesQuarantine() || !passesRate())
         return;
--- a/src/flamingoroute/serving/request_flow.hpp
+++ b/src/flamingoroute/serving/request_flow.hpp
@@ -27,10 +27,16 @@
 class request_flow : public std::enable_shared_from_this<request_flow> {
 public:
     request_flow(serving_state& state, std::shared_ptr<caller_exchange> exchange);
+    ~request_flow();
+    request_flow(const request_flow&) = delete;
+    request_flow& operator=(const request_flow&) = delete;
 
     /// Decides on the request and begins its first attempt; answers at once if none may be made.
     void start();
 
+    /// Answers now with what is known, because the process ends.
+    void endEarly();
+
 private:
     bool isWellFormed();
     bool findRule();
--- a/src/flamingoroute/serving/serving_state.hpp
+++ b/src/flamingoroute/serving/serving_state.hpp
@@ -20,9 +20,13 @@
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
+#include <memory>
+#include <unordered_map>
 
 namespace flamingoroute {
 
+class request_flow;
+
 /// All that the requests of one node share. Touched by the event loop's thread only.
 struct serving_state {
     serving_state(boost::asio::io_context& ioContext, const node_settings& nodeSettings, const header_names& names,
@@ -58,6 +62,7 @@
     path_delays paths;
     upstream_links links;
     serving_counters counters;
+    std::unordered_map<const request_flow*, std::weak_ptr<request_flow>> openRequests;
     bool isLeaving = false; ///< answers end their connections
     /// Tells the other instances that an upstream broke off under a request.
     std::function<void(const std::string& fingerprint, const upstream_id& upstream)> announceBroken;
