Admit requests on credit while the fleet is well below a customer's rate

Ruled out: skewed demand (parts follow it), the start (tokens are minted from the start of the process). Change: reports carry what was admitted in the window; below half of what a window may hold a request is admitted without a token and the debt is paid from later ones; the evenly split part is a tenth.

--- a/src/flamingoroute/fleet/fleet_members.cpp
+++ b/src/flamingoroute/fleet/fleet_members.cpp
@@ -110,6 +110,25 @@
     return result;
 }
 
+demand_view fleet_members::demandFor(const customer_id& customer, monotonic_time now) const
+{
+    demand_view view;
+    view.members = size();
+    for (const auto& [name, entry] : m_others) {
+        if (!isFresh(entry, now))
+            continue;
+        ++view.heard;
+        for (const auto& demand : entry.report.demand) {
+            if (demand.customer != customer.value())
+                continue;
+            const double age = std::chrono::duration<double>(now - entry.heardAt).count();
+            view.ofHeard += demand.perSecond;
+            view.othersAdmitted += demand.admitted + demand.perSecond * age;
+        }
+    }
+    return view;
+}
+
 std::vector<member> fleet_members::readyNear(
     const failure_domain_id& domain, const region_id& region, monotonic_time now) const
 {
--- a/src/flamingoroute/fleet/fleet_members.hpp
+++ b/src/flamingoroute/fleet/fleet_members.hpp
@@ -2,6 +2,7 @@
 #define FLAMINGOROUTE_FLEET_FLEET_MEMBERS_HPP
 
 #include "flamingoroute/fleet/fleet_report.hpp"
+#include "flamingoroute/fleet/rate_split.hpp"
 #include "flamingoroute/model/member.hpp"
 #include "flamingoroute/model/monotonic_time.hpp"
 
@@ -46,6 +47,9 @@
     /// @return the reports of instances heard lately
     std::vector<fleet_report> freshReports(monotonic_time now) const;
 
+    /// @return what the others reported of a customer; nothing of this instance
+    demand_view demandFor(const customer_id& customer, monotonic_time now) const;
+
     /// @return instances that take callers, nearest first: of the domain, else of the region, else of any
     std::vector<member> readyNear(
         const failure_domain_id& domain, const region_id& region, monotonic_time now) const;
--- a/src/flamingoroute/fleet/fleet_report.hpp
+++ b/src/flamingoroute/fleet/fleet_report.hpp
@@ -9,13 +9,14 @@
 
 namespace flamingoroute {
 
-/// How many requests a second of one customer reach an instance.
+/// What of one customer reaches an instance.
 struct customer_demand {
     std::string customer;
-    double perSecond = 0;
+    double perSecond = 0; ///< requests, admitted or not
+    std::uint32_t admitted = 0; ///< requests in the last window
 
     bool operator==(const customer_demand&) const = default;
-    MSGPACK_DEFINE(customer, perSecond)
+    MSGPACK_DEFINE(customer, perSecond, admitted)
 };
 
 /// Attempts at one version under a roll-out, as one instance counted them since the order.
--- a/src/flamingoroute/fleet/rate_split.cpp
+++ b/src/flamingoroute/fleet/rate_split.cpp
@@ -8,12 +8,16 @@
 namespace {
 
 /// Part of a rate that is split evenly, for instances whose demand has only begun.
-constexpr double evenPart = 0.2;
+constexpr double evenPart = 0.1;
 /// Demand is smoothed over several reports; a shorter memory makes the shares follow chance.
 constexpr double demandMemorySeconds = 3.0;
 /// Part of what the fleet may admit beyond rate and burst; the rest covers shares that change while reports travel.
 constexpr double usedSlack = 0.7;
 constexpr double leastDemand = 0.01;
+/// Part of what a window may hold up to which requests are admitted on credit. The rest covers what the instances admit
+/// before they hear of each other: at eight times the rate, about three seconds' worth of the rate.
+constexpr double creditPart = 0.5;
+constexpr milliseconds longestWait { 5000 };
 
 double secondsBetween(monotonic_time from, monotonic_time to)
 {
@@ -37,17 +41,28 @@
 {
 }
 
-double rate_split::fleetDepth(const customer_policy& customer) const
+double rate_split::windowLimit(const customer_policy& customer) const
 {
     const double window = std::chrono::duration<double>(m_bounds.rateWindow).count();
-    const double nominal = customer.ratePerSecond * window + customer.burst;
-    return customer.burst + usedSlack * (nominal * m_bounds.rateOvershoot + m_bounds.rateSlack);
+    return customer.ratePerSecond * window + customer.burst;
+}
+
+double rate_split::fleetDepth(const customer_policy& customer) const
+{
+    return customer.burst + usedSlack * (windowLimit(customer) * m_bounds.rateOvershoot + m_bounds.rateSlack);
+}
+
+bool rate_split::mayTakeCredit(const customer_policy& customer, const demand_view& view, double ownAdmitted) const
+{
+    const double limit = windowLimit(customer) * (1 + m_bounds.rateOvershoot) + m_bounds.rateSlack;
+    const double heard = static_cast<double>(view.heard) / static_cast<double>(std::max<std::size_t>(1, view.members));
+    return ownAdmitted + view.othersAdmitted + 1 <= creditPart * limit * std::min(1.0, heard);
 }
 
 milliseconds rate_split::admit(const customer_policy& customer, const demand_view& view, monotonic_time now)
 {
     // A start begins without tokens: the process before it may have spent them.
-    auto& held = m_accounts.try_emplace(customer.name, account { 0, 0, m_startedAt }).first->second;
+    auto& held = m_accounts.try_emplace(customer.name, account { 0, 0, m_startedAt, {} }).first->second;
     const double elapsed = std::max(0.0, secondsBetween(held.at, now));
     held.at = now;
     held.demand = held.demand * std::exp(-elapsed / demandMemorySeconds) + 1 / demandMemorySeconds;
@@ -57,26 +72,36 @@
     const double rate = share * customer.ratePerSecond;
     const double depth = std::max(1.0, share * fleetDepth(customer));
     held.tokens = std::min(depth, held.tokens + rate * elapsed);
-    if (held.tokens >= 1) {
+    const double ownAdmitted = held.admitted.count(now, m_bounds.rateWindow);
+    if (held.tokens >= 1 || mayTakeCredit(customer, view, ownAdmitted)) {
         held.tokens -= 1;
+        held.admitted.add(now, m_bounds.rateWindow);
         return milliseconds(0);
     }
     constexpr double msPerSecond = 1000;
     const double wait = (1 - held.tokens) / std::max(rate, leastDemand) * msPerSecond;
-    return milliseconds(std::max<std::int64_t>(1, std::llround(wait)));
+    return milliseconds(std::clamp<std::int64_t>(std::llround(wait), 1, longestWait.count()));
+}
+
+rate_usage rate_split::usageIn(const account& held, monotonic_time now) const
+{
+    const double age = std::max(0.0, secondsBetween(held.at, now));
+    return { held.demand * std::exp(-age / demandMemorySeconds),
+        static_cast<double>(held.admitted.count(now, m_bounds.rateWindow)) };
 }
 
-std::map<customer_id, double> rate_split::demand(monotonic_time now) const
+std::map<customer_id, rate_usage> rate_split::usage(monotonic_time now) const
 {
-    std::map<customer_id, double> result;
+    std::map<customer_id, rate_usage> result;
     for (const auto& [name, held] : m_accounts)
-        result[name] = held.demand * std::exp(-std::max(0.0, secondsBetween(held.at, now)) / demandMemorySeconds);
+        result[name] = usageIn(held, now);
     return result;
 }
 
-void rate_split::retainOnly(const std::map<customer_id, double>& kept)
+rate_usage rate_split::usageOf(const customer_id& customer, monotonic_time now) const
 {
-    std::erase_if(m_accounts, [&](const auto& entry) { return !kept.contains(entry.first); });
+    const auto known = m_accounts.find(customer);
+    return known == m_accounts.end() ? rate_usage {} : usageIn(known->second, now);
 }
 
 } // namespace flamingoroute
--- a/src/flamingoroute/fleet/rate_split.hpp
+++ b/src/flamingoroute/fleet/rate_split.hpp
@@ -1,6 +1,7 @@
 #ifndef FLAMINGOROUTE_FLEET_RATE_SPLIT_HPP
 #define FLAMINGOROUTE_FLEET_RATE_SPLIT_HPP
 
+#include "flamingoroute/fleet/window_count.hpp"
 #include "flamingoroute/model/customer_policy.hpp"
 #include "flamingoroute/model/monotonic_time.hpp"
 #include "flamingoroute/settings/fleet_bounds.hpp"
@@ -15,18 +16,31 @@
     std::size_t heard = 1; ///< of them heard lately, this one included
     double own = 0; ///< requests a second at this instance
     double ofHeard = 0; ///< requests a second at all that were heard, this one included
+    double othersAdmitted = 0; ///< requests that the others heard admitted in the last window, as far as is known
 
     bool operator==(const demand_view&) const = default;
 };
 
 /// The part of a rate that an instance may use.
 ///
-/// A fifth is split evenly. The rest follows demand, but only as much of it as the instances heard make up of the
+/// A tenth is split evenly. The rest follows demand, but only as much of it as the instances heard make up of the
 /// fleet: the sides of a cut then sum to the whole, and an instance that hears nobody has its even part.
 /// @return 0 to 1
 double rateShare(const demand_view& view);
 
-/// Admits requests of customers within their fleet-wide rates, by this instance's part of each. Pure.
+/// What an instance counted of one customer.
+struct rate_usage {
+    double demand = 0; ///< requests a second, admitted or not
+    double admitted = 0; ///< requests in the last window
+
+    bool operator==(const rate_usage&) const = default;
+};
+
+/// Admits requests of customers within their fleet-wide rates. Pure.
+///
+/// Each instance mints tokens at its part of the rate. While the fleet is known to have admitted well less than a
+/// window may hold, a request is admitted on credit: parts of a small rate hold too few tokens for chance. Credit is
+/// paid back out of later tokens, so that rate and burst hold over time.
 class rate_split {
 public:
     /// @param bounds what the fleet may admit beyond a rate and its burst
@@ -38,20 +52,24 @@
     /// @return zero if admitted
     milliseconds admit(const customer_policy& customer, const demand_view& view, monotonic_time now);
 
-    /// @return requests a second that this instance lately got, for each customer
-    std::map<customer_id, double> demand(monotonic_time now) const;
+    /// @return what this instance lately got, for each customer
+    std::map<customer_id, rate_usage> usage(monotonic_time now) const;
 
-    /// Forgets customers that are not in @p kept.
-    void retainOnly(const std::map<customer_id, double>& kept);
+    /// @return what this instance lately got of one customer
+    rate_usage usageOf(const customer_id& customer, monotonic_time now) const;
 
 private:
     struct account {
         double tokens = 0;
         double demand = 0; ///< requests a second, smoothed
         monotonic_time at;
+        window_count admitted;
     };
 
+    double windowLimit(const customer_policy& customer) const;
     double fleetDepth(const customer_policy& customer) const;
+    bool mayTakeCredit(const customer_policy& customer, const demand_view& view, double ownAdmitted) const;
+    rate_usage usageIn(const account& held, monotonic_time now) const;
 
     fleet_bounds m_bounds;
     monotonic_time m_startedAt;
--- a/src/flamingoroute/runtime/fleet_gossip.cpp
+++ b/src/flamingoroute/runtime/fleet_gossip.cpp
@@ -76,9 +76,9 @@
     report.peerAddress = toString(self.entryAddress);
     report.isReady = m_state.members.isSelfReady();
     report.isLeaving = m_state.isLeaving;
-    for (const auto& [customer, perSecond] : m_state.rates.demand(monotonicNow())) {
-        if (perSecond >= leastDemand)
-            report.demand.push_back({ customer.value(), perSecond });
+    for (const auto& [customer, usage] : m_state.rates.usage(monotonicNow())) {
+        if (usage.demand >= leastDemand || usage.admitted > 0)
+            report.demand.push_back({ customer.value(), usage.demand, static_cast<std::uint32_t>(usage.admitted) });
     }
     report.tallies = m_state.versions.tallies(monotonicNow());
     return report;
--- a/src/flamingoroute/serving/request_flow.cpp
+++ b/src/flamingoroute/serving/request_flow.cpp
@@ -181,17 +181,9 @@
     if (m_customer == nullptr)
         return true;
     const auto now = monotonicNow();
-    demand_view view;
-    view.members = m_state.members.size();
-    view.heard = m_state.members.heardCount(now);
-    const auto own = m_state.rates.demand(now);
-    const auto mine = own.find(m_customer->name);
-    view.own = mine == own.end() ? 0 : mine->second;
-    view.ofHeard = view.own;
-    for (const auto& report : m_state.members.freshReports(now)) {
-        for (const auto& demand : report.demand)
-            view.ofHeard += demand.customer == m_customer->name.value() ? demand.perSecond : 0;
-    }
+    auto view = m_state.members.demandFor(m_customer->name, now);
+    view.own = m_state.rates.usageOf(m_customer->name, now).demand;
+    view.ofHeard += view.own;
     const auto wait = m_state.rates.admit(*m_customer, view, now);
     if (wait > milliseconds(0))
         refuse(429, "over_rate", wait);
@@ -475,8 +467,13 @@
         line.with("rule", m_rule->name).with("version", m_table->version());
     if (m_customer != nullptr)
         line.with("customer", m_customer->name.value());
+    const auto& object = headerValue(m_exchange->request.headers, m_state.headers.objectKey);
+    if (!object.empty())
+        line.with("object", object);
     if (m_attempts > 0)
-        line.with("attempts", m_attempts).with("upstream", m_upstream.name.value());
+        line.with("attempts", m_attempts)
+            .with("upstream", m_upstream.name.value())
+            .with("warm", m_chosen.isKnownWarm ? 1 : 0);
     line.with("elapsed_us", (monotonicNow() - m_exchange->arrivedAt).count());
     line.with("expected_us", m_chosen.expected.count()).with("wait_us", m_chosen.wait.count());
 }
