--- a/src/flamingoroute/fleet/fleet_members.cpp
+++ b/src/flamingoroute/fleet/fleet_members.cpp
@@ -114,6 +114,11 @@
 {
     demand_view view;
     view.members = size();
+    for (const auto& demand : m_ownReport.demand) {
+        if (demand.customer == customer.value())
+            view.own = demand.perSecond;
+    }
+    view.ofHeard = view.own;
     for (const auto& [name, entry] : m_others) {
         if (!isFresh(entry, now))
             continue;
--- a/src/flamingoroute/fleet/fleet_members.hpp
+++ b/src/flamingoroute/fleet/fleet_members.hpp
@@ -26,6 +26,10 @@
     /// Told of a report that another instance sent.
     void noteReport(const fleet_report& report, monotonic_time now);
 
+    /// Told of the report that this instance sends. Parts of rates follow what was reported, this instance's too, so
+    /// that all instances split by the same numbers.
+    void noteOwnReport(const fleet_report& report) { m_ownReport = report; }
+
     void setSelfReady(bool isReady) { m_isSelfReady = isReady; }
     bool isSelfReady() const { return m_isSelfReady; }
 
@@ -47,7 +51,7 @@
     /// @return the reports of instances heard lately
     std::vector<fleet_report> freshReports(monotonic_time now) const;
 
-    /// @return what the others reported of a customer; nothing of this instance
+    /// @return what this instance and the others reported of a customer
     demand_view demandFor(const customer_id& customer, monotonic_time now) const;
 
     /// @return instances that take callers, nearest first: of the domain, else of the region, else of any
@@ -71,6 +75,7 @@
     bool isFresh(const other_member& which, monotonic_time now) const;
 
     member m_self;
+    fleet_report m_ownReport;
     bool m_isSelfReady = false;
     std::map<instance_id, other_member> m_others;
 };
--- a/src/flamingoroute/fleet/rate_split.cpp
+++ b/src/flamingoroute/fleet/rate_split.cpp
@@ -16,7 +16,7 @@
 constexpr double leastDemand = 0.01;
 /// Part of what a window may hold up to which requests are admitted on credit. The rest covers what the instances admit
 /// before they hear of each other: at eight times the rate, about three seconds' worth of the rate.
-constexpr double creditPart = 0.5;
+constexpr double creditPart = 0.6;
 constexpr milliseconds longestWait { 5000 };
 
 double secondsBetween(monotonic_time from, monotonic_time to)
@@ -52,8 +52,12 @@
     return customer.burst + usedSlack * (windowLimit(customer) * m_bounds.rateOvershoot + m_bounds.rateSlack);
 }
 
-bool rate_split::mayTakeCredit(const customer_policy& customer, const demand_view& view, double ownAdmitted) const
+bool rate_split::mayTakeCredit(
+    const customer_policy& customer, const demand_view& view, double ownAdmitted, monotonic_time now) const
 {
+    // What the process before this one admitted is not known.
+    if (now - m_startedAt < m_bounds.rateWindow)
+        return false;
     const double limit = windowLimit(customer) * (1 + m_bounds.rateOvershoot) + m_bounds.rateSlack;
     const double heard = static_cast<double>(view.heard) / static_cast<double>(std::max<std::size_t>(1, view.members));
     return ownAdmitted + view.othersAdmitted + 1 <= creditPart * limit * std::min(1.0, heard);
@@ -73,7 +77,7 @@
     const double depth = std::max(1.0, share * fleetDepth(customer));
     held.tokens = std::min(depth, held.tokens + rate * elapsed);
     const double ownAdmitted = held.admitted.count(now, m_bounds.rateWindow);
-    if (held.tokens >= 1 || mayTakeCredit(customer, view, ownAdmitted)) {
+    if (held.tokens >= 1 || mayTakeCredit(customer, view, ownAdmitted, now)) {
         held.tokens -= 1;
         held.admitted.add(now, m_bounds.rateWindow);
         return milliseconds(0);
@@ -98,10 +102,4 @@
     return result;
 }
 
-rate_usage rate_split::usageOf(const customer_id& customer, monotonic_time now) const
-{
-    const auto known = m_accounts.find(customer);
-    return known == m_accounts.end() ? rate_usage {} : usageIn(known->second, now);
-}
-
 } // namespace flamingoroute
--- a/src/flamingoroute/fleet/rate_split.hpp
+++ b/src/flamingoroute/fleet/rate_split.hpp
@@ -14,7 +14,7 @@
 struct demand_view {
     std::size_t members = 1; ///< instances that may admit requests
     std::size_t heard = 1; ///< of them heard lately, this one included
-    double own = 0; ///< requests a second at this instance
+    double own = 0; ///< requests a second at this instance, as it reported them
     double ofHeard = 0; ///< requests a second at all that were heard, this one included
     double othersAdmitted = 0; ///< requests that the others heard admitted in the last window, as far as is known
 
@@ -55,9 +55,6 @@
     /// @return what this instance lately got, for each customer
     std::map<customer_id, rate_usage> usage(monotonic_time now) const;
 
-    /// @return what this instance lately got of one customer
-    rate_usage usageOf(const customer_id& customer, monotonic_time now) const;
-
 private:
     struct account {
         double tokens = 0;
@@ -68,7 +65,8 @@
 
     double windowLimit(const customer_policy& customer) const;
     double fleetDepth(const customer_policy& customer) const;
-    bool mayTakeCredit(const customer_policy& customer, const demand_view& view, double ownAdmitted) const;
+    bool mayTakeCredit(
+        const customer_policy& customer, const demand_view& view, double ownAdmitted, monotonic_time now) const;
     rate_usage usageIn(const account& held, monotonic_time now) const;
 
     fleet_bounds m_bounds;
--- a/src/flamingoroute/placement/placement.cpp
+++ b/src/flamingoroute/placement/placement.cpp
@@ -81,7 +81,9 @@
     }
     const auto allowedWait = microseconds(
         static_cast<std::int64_t>(request.patience * static_cast<double>(request.objective.count())));
-    const bool fits = choice.wait <= allowedWait && choice.expected <= request.timeLeft;
+    // With a free slot it is always tried: what is expected may have been learned under other conditions.
+    const bool isInTime = choice.wait == microseconds(0) || choice.expected <= request.timeLeft;
+    const bool fits = choice.wait <= allowedWait && isInTime;
     if (best && fits)
         choice.index = best;
     return choice;
--- a/src/flamingoroute/proxy/caller_connection.cpp
+++ b/src/flamingoroute/proxy/caller_connection.cpp
@@ -265,10 +265,11 @@
 
 void caller_connection::watchTime()
 {
-    if (m_isTimerSet || m_isClosed)
+    const auto limit = silenceLimit();
+    if (m_isClosed || (m_isTimerSet && m_timer.expiry() <= limit))
         return;
     m_isTimerSet = true;
-    m_timer.expires_at(silenceLimit());
+    m_timer.expires_at(limit);
     m_timer.async_wait([weak = weak_from_this()](const socket_error& cancelled) {
         const auto self = weak.lock();
         if (!self || cancelled)
--- a/src/flamingoroute/runtime/fleet_gossip.cpp
+++ b/src/flamingoroute/runtime/fleet_gossip.cpp
@@ -86,7 +86,9 @@
 
 void fleet_gossip::report()
 {
-    const std::string body = packBody(ownReport());
+    const auto own = ownReport();
+    m_state.members.noteOwnReport(own);
+    const std::string body = packBody(own);
     for (const auto& other : m_state.members.others())
         m_bus.send(other.entryAddress, message_kind::fleet_report, body);
 }
--- a/src/flamingoroute/serving/request_flow.cpp
+++ b/src/flamingoroute/serving/request_flow.cpp
@@ -181,9 +181,7 @@
     if (m_customer == nullptr)
         return true;
     const auto now = monotonicNow();
-    auto view = m_state.members.demandFor(m_customer->name, now);
-    view.own = m_state.rates.usageOf(m_customer->name, now).demand;
-    view.ofHeard += view.own;
+    const auto view = m_state.members.demandFor(m_customer->name, now);
     const auto wait = m_state.rates.admit(*m_customer, view, now);
     if (wait > milliseconds(0))
         refuse(429, "over_rate", wait);
--- /dev/null
+++ b/tests/unit/fleet/fleet_members_test.cpp
@@ -0,0 +1,91 @@
+#include "flamingoroute/fleet/fleet_members.hpp"
+
+#include <gtest/gtest.h>
+
+namespace flamingoroute {
+
+namespace {
+
+monotonic_time at(int ms) { return monotonic_time(milliseconds(100'000 + ms)); }
+
+member memberNamed(const std::string& name, const std::string& domain, const std::string& region)
+{
+    member result;
+    result.instance = instance_id(name);
+    result.failureDomain = failure_domain_id(domain);
+    result.region = region_id(region);
+    result.callerAddress = { "10.0.0.1", 80 };
+    result.entryAddress = { "10.0.0.1", 7560 };
+    return result;
+}
+
+fleet_report reportOf(const member& which, bool isReady)
+{
+    fleet_report report;
+    report.instance = which.instance.value();
+    report.failureDomain = which.failureDomain.value();
+    report.region = which.region.value();
+    report.callerAddress = toString(which.callerAddress);
+    report.peerAddress = toString(which.entryAddress);
+    report.isReady = isReady;
+    return report;
+}
+
+const member self = memberNamed("entry-1", "centro-a", "centro");
+const member sameDomain = memberNamed("entry-2", "centro-a", "centro");
+const member sameRegion = memberNamed("entry-3", "centro-b", "centro");
+const member far = memberNamed("entry-4", "oriente-a", "oriente");
+
+} // namespace
+
+TEST(fleet_members, names_ready_instances_of_the_domain_then_of_the_region_then_any)
+{
+    fleet_members members(self);
+    const auto near = [&](const std::string& domain, const std::string& region) {
+        return members.readyNear(failure_domain_id(domain), region_id(region), at(0));
+    };
+    EXPECT_TRUE(near("centro-a", "centro").empty());
+    members.noteReport(reportOf(far, true), at(0));
+    EXPECT_EQ(near("centro-a", "centro").front().instance, far.instance);
+    members.noteReport(reportOf(sameRegion, true), at(0));
+    EXPECT_EQ(near("centro-a", "centro").front().instance, sameRegion.instance);
+    members.setSelfReady(true);
+    members.noteReport(reportOf(sameDomain, false), at(0));
+    ASSERT_EQ(near("centro-a", "centro").size(), 1U);
+    EXPECT_EQ(near("centro-a", "centro").front().instance, self.instance);
+}
+
+TEST(fleet_members, stops_naming_an_instance_that_is_silent_or_leaves)
+{
+    fleet_members members(self);
+    members.noteReport(reportOf(sameDomain, true), at(0));
+    EXPECT_EQ(members.readyNear(sameDomain.failureDomain, sameDomain.region, at(1000)).size(), 1U);
+    EXPECT_TRUE(members.readyNear(sameDomain.failureDomain, sameDomain.region, at(2500)).empty());
+    auto leaving = reportOf(sameDomain, true);
+    leaving.isLeaving = true;
+    members.noteReport(leaving, at(3000));
+    EXPECT_TRUE(members.readyNear(sameDomain.failureDomain, sameDomain.region, at(3001)).empty());
+}
+
+TEST(fleet_members, counts_a_silent_registered_instance_until_it_is_unregistered)
+{
+    fleet_members members(self);
+    members.noteRegistered(sameDomain, at(0));
+    EXPECT_EQ(members.size(), 2U);
+    EXPECT_EQ(members.heardCount(at(10'000)), 1U);
+    EXPECT_FALSE(members.isLost(sameDomain.instance, at(10'000)));
+    EXPECT_TRUE(members.isLost(sameDomain.instance, at(40'000)));
+    members.noteUnregistered(sameDomain.instance);
+    EXPECT_EQ(members.size(), 1U);
+}
+
+TEST(fleet_members, takes_no_report_without_an_address)
+{
+    fleet_members members(self);
+    auto report = reportOf(sameDomain, true);
+    report.callerAddress = "nowhere";
+    members.noteReport(report, at(0));
+    EXPECT_EQ(members.size(), 1U);
+}
+
+} // namespace flamingoroute
--- /dev/null
+++ b/tests/unit/fleet/rate_split_test.cpp
@@ -0,0 +1,185 @@
+#include "flamingoroute/fleet/rate_split.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <random>
+
+namespace flamingoroute {
+
+namespace {
+
+fleet_bounds boundsOfUsers()
+{
+    fleet_bounds bounds;
+    bounds.rateWindow = milliseconds(5000);
+    bounds.rateOvershoot = 0.1;
+    bounds.rateSlack = 20;
+    return bounds;
+}
+
+customer_policy customerWith(double rate)
+{
+    customer_policy customer;
+    customer.name = customer_id("ronda");
+    customer.ratePerSecond = rate;
+    customer.burst = rate;
+    return customer;
+}
+
+/// Some instances that admit one customer's requests and hear of each other twice a second.
+class rate_fleet {
+public:
+    rate_fleet(std::size_t size, double rate)
+        : m_customer(customerWith(rate))
+        , m_reports(size)
+        , m_isHeard(size, std::vector<bool>(size, true))
+    {
+        for (std::size_t i = 0; i < size; ++i)
+            m_splits.emplace_back(boundsOfUsers(), monotonic_time {});
+    }
+
+    /// From now on the first @p count instances and the others do not hear of each other.
+    void cutOff(std::size_t count)
+    {
+        for (std::size_t i = 0; i < m_splits.size(); ++i) {
+            for (std::size_t j = 0; j < m_splits.size(); ++j)
+                m_isHeard[i][j] = (i < count) == (j < count);
+        }
+    }
+
+    void restart(std::size_t which) { m_splits[which] = rate_split(boundsOfUsers(), m_now); }
+
+    /// @param perSecond requests over the fleet
+    /// @param share of them that go to the first instance; the rest go to any
+    void play(double durationSeconds, double perSecond, double share)
+    {
+        std::exponential_distribution<double> gap(perSecond);
+        std::uniform_real_distribution<double> uniform;
+        const auto end = m_now + microseconds(static_cast<std::int64_t>(durationSeconds * 1e6));
+        while (m_now < end) {
+            m_now += microseconds(static_cast<std::int64_t>(gap(m_random) * 1e6));
+            exchangeReports();
+            const std::size_t which = uniform(m_random) < share ? 0 : m_random() % m_splits.size();
+            ++m_asked;
+            if (m_splits[which].admit(m_customer, viewOf(which), m_now) == milliseconds(0))
+                m_admittedAt.push_back(m_now);
+        }
+    }
+
+    /// @return whether any window held more than the rules of the users allow
+    bool isOverLimit() const
+    {
+        const double limit = (m_customer.ratePerSecond * 5 + m_customer.burst) * 1.1 + 20;
+        std::size_t first = 0;
+        for (std::size_t last = 0; last < m_admittedAt.size(); ++last) {
+            while (m_admittedAt[last] - m_admittedAt[first] >= seconds(5))
+                ++first;
+            if (static_cast<double>(last - first + 1) > limit)
+                return true;
+        }
+        return false;
+    }
+
+    double admittedShare() const { return static_cast<double>(m_admittedAt.size()) / m_asked; }
+
+private:
+    void exchangeReports()
+    {
+        if (m_now - m_reportedAt < milliseconds(500))
+            return;
+        m_reportedAt = m_now;
+        for (std::size_t i = 0; i < m_splits.size(); ++i)
+            m_reports[i] = m_splits[i].usage(m_now)[m_customer.name];
+    }
+
+    demand_view viewOf(std::size_t which) const
+    {
+        demand_view view;
+        view.members = m_splits.size();
+        view.own = m_reports[which].demand;
+        view.ofHeard = view.own;
+        const double age = std::chrono::duration<double>(m_now - m_reportedAt).count();
+        for (std::size_t other = 0; other < m_splits.size(); ++other) {
+            if (other == which || !m_isHeard[which][other])
+                continue;
+            ++view.heard;
+            view.ofHeard += m_reports[other].demand;
+            view.othersAdmitted += m_reports[other].admitted + m_reports[other].demand * age;
+        }
+        return view;
+    }
+
+    customer_policy m_customer;
+    std::vector<rate_split> m_splits;
+    std::vector<rate_usage> m_reports;
+    std::vector<std::vector<bool>> m_isHeard;
+    std::mt19937_64 m_random { 42 };
+    monotonic_time m_now { seconds(8) };
+    monotonic_time m_reportedAt;
+    std::vector<monotonic_time> m_admittedAt;
+    double m_asked = 0;
+};
+
+} // namespace
+
+TEST(rate_split, refuses_hardly_anything_of_a_customer_at_two_thirds_of_a_small_or_a_large_rate)
+{
+    for (const double rate : { 3.0, 22.0, 110.0 }) {
+        rate_fleet fleet(9, rate);
+        fleet.play(30, rate * 0.63, 0.3);
+        EXPECT_GT(fleet.admittedShare(), 0.99) << "rate " << rate;
+        EXPECT_FALSE(fleet.isOverLimit()) << "rate " << rate;
+    }
+}
+
+TEST(rate_split, holds_the_rate_when_a_customer_sends_eight_times_its_usual)
+{
+    for (const double rate : { 3.0, 22.0, 110.0 }) {
+        rate_fleet fleet(9, rate);
+        fleet.play(8, rate * 0.63, 0.3);
+        fleet.play(8, rate * 5, 0.3);
+        fleet.play(8, rate * 0.63, 0.3);
+        EXPECT_FALSE(fleet.isOverLimit()) << "rate " << rate;
+    }
+}
+
+TEST(rate_split, holds_the_rate_while_a_part_of_the_fleet_is_cut_off)
+{
+    for (const std::size_t cut : { 1U, 3U, 4U }) {
+        rate_fleet fleet(9, 22);
+        fleet.play(8, 14, 0.3);
+        fleet.cutOff(cut);
+        fleet.play(10, 110, 0.3);
+        EXPECT_FALSE(fleet.isOverLimit()) << cut << " cut off";
+    }
+}
+
+TEST(rate_split, holds_the_rate_when_all_instances_restart_under_load)
+{
+    rate_fleet fleet(9, 22);
+    fleet.play(8, 110, 0.3);
+    for (std::size_t i = 0; i < 9; ++i)
+        fleet.restart(i);
+    fleet.play(8, 110, 0.3);
+    EXPECT_FALSE(fleet.isOverLimit());
+}
+
+TEST(rate_split, parts_of_the_sides_of_a_cut_sum_to_no_more_than_the_whole)
+{
+    for (std::size_t heard = 1; heard <= 8; ++heard) {
+        demand_view left { 9, heard, 10, 10.0 * static_cast<double>(heard), 0 };
+        demand_view right { 9, 9 - heard, 10, 10.0 * static_cast<double>(9 - heard), 0 };
+        const double sum = rateShare(left) * static_cast<double>(heard) + rateShare(right) * static_cast<double>(9 - heard);
+        EXPECT_LE(sum, 1.0 + 1e-9);
+    }
+}
+
+TEST(rate_split, admits_everything_of_a_customer_without_a_rate)
+{
+    rate_split split(boundsOfUsers(), monotonic_time {});
+    for (int i = 0; i < 1000; ++i)
+        EXPECT_EQ(split.admit(customerWith(0), demand_view {}, monotonic_time {}), milliseconds(0));
+}
+
+} // namespace flamingoroute
--- /dev/null
+++ b/tests/unit/moves/version_gate_test.cpp
@@ -0,0 +1,122 @@
+#include "flamingoroute/moves/version_gate.hpp"
+
+#include "flamingoroute/fleet/fleet_report.hpp"
+
+#include <gtest/gtest.h>
+
+namespace flamingoroute {
+
+namespace {
+
+const service_id service("mostrador");
+const version_id oldVersion("v1");
+const version_id newVersion("v2");
+constexpr double exposureShare = 0.1;
+
+monotonic_time at(int ms) { return monotonic_time(milliseconds(100'000 + ms)); }
+
+version_order orderOf(int durationMs = 16'000)
+{
+    version_order order;
+    order.service = service;
+    order.target = newVersion;
+    order.duration = milliseconds(durationMs);
+    order.isStateWritten = true;
+    return order;
+}
+
+version_gate gateWithOrder()
+{
+    version_gate gate(exposureShare);
+    gate.noteListed(service, oldVersion, true, at(-5000));
+    gate.noteListed(service, newVersion, false, at(0));
+    gate.noteOrder(orderOf(), at(0));
+    return gate;
+}
+
+bool goesToNew(const version_gate& gate, std::uint64_t hash, int ms)
+{
+    return gate.filterFor(service, hash, at(ms)).preferred == newVersion;
+}
+
+} // namespace
+
+TEST(version_gate, gives_an_untried_version_less_than_its_share_over_the_whole_order)
+{
+    const auto gate = gateWithOrder();
+    int toNew = 0;
+    int all = 0;
+    for (int ms = 0; ms < 16'000; ms += 4) {
+        ++all;
+        toNew += goesToNew(gate, static_cast<std::uint64_t>(ms) * 7919, ms) ? 1 : 0;
+    }
+    EXPECT_LE(toNew, exposureShare * all);
+    EXPECT_GT(toNew, 0.05 * all);
+}
+
+TEST(version_gate, completes_a_good_version_just_before_its_deadline)
+{
+    auto gate = gateWithOrder();
+    for (int i = 0; i < 50; ++i)
+        gate.noteAttempt(service, newVersion, version_sample::good);
+    gate.judge({}, at(15'000));
+    EXPECT_TRUE(gate.dueStates(at(15'000)).empty());
+    const auto due = gate.dueStates(at(15'900));
+    ASSERT_EQ(due.size(), 1U);
+    EXPECT_EQ(due.front().state, version_order_state::completed);
+}
+
+TEST(version_gate, takes_a_version_back_when_the_fleet_together_sees_it_fail)
+{
+    auto gate = gateWithOrder();
+    gate.noteAttempt(service, newVersion, version_sample::failed);
+    gate.judge({ { service.value(), newVersion.value(), 4, 2, 0, 0 } }, at(5000));
+    const auto due = gate.dueStates(at(5000));
+    ASSERT_EQ(due.size(), 1U);
+    EXPECT_EQ(due.front().state, version_order_state::rolled_back);
+    EXPECT_TRUE(gate.filterFor(service, 1, at(5001)).excluded.contains(newVersion));
+}
+
+TEST(version_gate, keeps_a_version_out_that_was_rolled_back)
+{
+    auto gate = gateWithOrder();
+    auto order = orderOf();
+    order.state = version_order_state::rolled_back;
+    gate.noteOrder(order, at(6000));
+    EXPECT_TRUE(gate.filterFor(service, 1, at(60'000)).excluded.contains(newVersion));
+    EXPECT_TRUE(gate.dueStates(at(60'000)).empty());
+}
+
+TEST(version_gate, takes_the_orders_age_from_the_others_after_a_restart)
+{
+    version_gate gate(exposureShare);
+    gate.noteListed(service, oldVersion, true, at(0));
+    gate.noteListed(service, newVersion, true, at(0));
+    gate.noteOrder(orderOf(), at(0));
+    EXPECT_FALSE(goesToNew(gate, 2, 5000));
+    gate.judge({ { service.value(), newVersion.value(), 20, 0, 0, 13'000 } }, at(3000));
+    EXPECT_TRUE(goesToNew(gate, 2, 5000));
+    gate.judge({ { service.value(), newVersion.value(), 20, 0, 0, 15'900 } }, at(5900));
+    ASSERT_EQ(gate.dueStates(at(5900)).size(), 1U);
+    EXPECT_EQ(gate.dueStates(at(5900)).front().state, version_order_state::completed);
+}
+
+TEST(version_gate, gives_a_version_without_an_order_nothing_until_an_order_would_be_known)
+{
+    version_gate gate(exposureShare);
+    gate.noteListed(service, oldVersion, true, at(0));
+    gate.noteListed(service, newVersion, false, at(0));
+    EXPECT_TRUE(gate.filterFor(service, 1, at(1000)).excluded.contains(newVersion));
+    EXPECT_FALSE(gate.filterFor(service, 1, at(4000)).excluded.contains(newVersion));
+}
+
+TEST(version_gate, prefers_the_target_of_a_completed_order)
+{
+    auto gate = gateWithOrder();
+    auto order = orderOf();
+    order.state = version_order_state::completed;
+    gate.noteOrder(order, at(16'000));
+    EXPECT_EQ(gate.filterFor(service, 1, at(16'001)).preferred, newVersion);
+}
+
+} // namespace flamingoroute
--- /dev/null
+++ b/tests/unit/placement/cold_gate_test.cpp
@@ -0,0 +1,59 @@
+#include "flamingoroute/placement/cold_gate.hpp"
+
+#include <gtest/gtest.h>
+
+namespace flamingoroute {
+
+namespace {
+
+constexpr double coldRate = 5.9;
+constexpr double overshoot = 1.5;
+constexpr double slack = 5;
+
+std::vector<instance_id> membersNamed(int count)
+{
+    std::vector<instance_id> members;
+    for (int i = 0; i < count; ++i)
+        members.emplace_back("entry-" + std::to_string(i));
+    return members;
+}
+
+} // namespace
+
+TEST(cold_gate, keeps_the_fleet_within_the_bound_of_each_second_while_views_of_the_members_differ)
+{
+    for (const int size : { 1, 3, 9, 85 }) {
+        const auto members = membersNamed(size);
+        auto otherView = members;
+        otherView.pop_back();
+        std::vector<cold_gate> gates;
+        for (const auto& member : members)
+            gates.emplace_back(member, overshoot, slack);
+        std::vector<int> sentAtMs;
+        for (int ms = 0; ms < 5000; ++ms) {
+            for (std::size_t i = 0; i < gates.size(); ++i) {
+                const auto& view = i % 2 == 0 || otherView.empty() ? members : otherView;
+                const monotonic_time now { milliseconds(ms) };
+                if (gates[i].mayTake(upstream_id("u"), view, coldRate, now)) {
+                    gates[i].take(upstream_id("u"), now);
+                    sentAtMs.push_back(ms);
+                }
+            }
+        }
+        EXPECT_FALSE(sentAtMs.empty());
+        for (std::size_t first = 0; first < sentAtMs.size(); ++first) {
+            std::size_t last = first;
+            while (last < sentAtMs.size() && sentAtMs[last] < sentAtMs[first] + 1000)
+                ++last;
+            EXPECT_LE(static_cast<double>(last - first), coldRate * overshoot + slack) << size << " members";
+        }
+    }
+}
+
+TEST(cold_gate, holds_nothing_back_from_a_service_without_a_cold_rate)
+{
+    const cold_gate gate(instance_id("entry-0"), overshoot, slack);
+    EXPECT_TRUE(gate.mayTake(upstream_id("u"), {}, 0, monotonic_time {}));
+}
+
+} // namespace flamingoroute
--- /dev/null
+++ b/tests/unit/placement/region_shares_test.cpp
@@ -0,0 +1,54 @@
+#include "flamingoroute/placement/region_shares.hpp"
+
+#include <gtest/gtest.h>
+
+namespace flamingoroute {
+
+namespace {
+
+const region_id centre("centre");
+const region_id west("west");
+const region_id east("east");
+
+double sumOf(const std::map<region_id, double>& shares)
+{
+    double sum = 0;
+    for (const auto& [region, share] : shares)
+        sum += share;
+    return sum;
+}
+
+} // namespace
+
+TEST(region_shares, keeps_all_requests_in_a_region_that_has_room)
+{
+    const std::map<region_id, region_room> rooms { { centre, { 24, 1.0 / 3 } }, { west, { 24, 1.0 / 3 } },
+        { east, { 24, 1.0 / 3 } } };
+    EXPECT_DOUBLE_EQ(regionShares(rooms, west, 0.45).at(west), 1.0);
+}
+
+TEST(region_shares, sends_out_only_what_the_own_upstreams_cannot_run_and_to_where_room_is)
+{
+    const std::map<region_id, region_room> rooms { { centre, { 6, 1.0 / 3 } }, { west, { 30, 1.0 / 3 } },
+        { east, { 36, 1.0 / 3 } } };
+    const auto shares = regionShares(rooms, centre, 0.45);
+    EXPECT_NEAR(shares.at(centre), 0.85 * 6 / 10.8, 1e-9);
+    EXPECT_GT(shares.at(east), shares.at(west));
+    EXPECT_NEAR(sumOf(shares), 1, 1e-9);
+}
+
+TEST(region_shares, send_all_elsewhere_if_a_region_has_no_upstream)
+{
+    const std::map<region_id, region_room> rooms { { centre, { 0, 1.0 / 3 } }, { west, { 30, 1.0 / 3 } },
+        { east, { 30, 1.0 / 3 } } };
+    const auto shares = regionShares(rooms, centre, 0.45);
+    EXPECT_DOUBLE_EQ(shares.at(centre), 0);
+    EXPECT_NEAR(sumOf(shares), 1, 1e-9);
+}
+
+TEST(region_shares, are_empty_without_any_upstream)
+{
+    EXPECT_TRUE(regionShares({ { centre, { 0, 1 } } }, centre, 0.45).empty());
+}
+
+} // namespace flamingoroute
--- /dev/null
+++ b/tests/unit/placement/upstream_directory_test.cpp
@@ -0,0 +1,109 @@
+#include "flamingoroute/placement/upstream_directory.hpp"
+
+#include <gtest/gtest.h>
+
+namespace flamingoroute {
+
+namespace {
+
+const upstream_id name("u-1");
+const failure_domain_id domain("centro-a");
+constexpr milliseconds coldTime { 3000 };
+
+monotonic_time at(int ms) { return monotonic_time(milliseconds(100'000 + ms)); }
+
+listed_upstream entryOf(std::uint64_t startedAtMs = 1)
+{
+    listed_upstream entry;
+    entry.name = name;
+    entry.startedAtMs = startedAtMs;
+    entry.service = service_id("mostrador");
+    entry.failureDomain = domain;
+    entry.address = { "127.0.0.1", 8000 };
+    entry.slots = 6;
+    return entry;
+}
+
+upstream_directory directoryWithOne()
+{
+    upstream_directory directory({ { domain, region_id("guate-centro") } });
+    directory.apply(entryOf(), at(0));
+    return directory;
+}
+
+attempt_report reportOf(attempt_verdict verdict)
+{
+    attempt_report report;
+    report.verdict = verdict;
+    return report;
+}
+
+} // namespace
+
+TEST(upstream_directory, gives_nothing_to_an_upstream_that_drains_or_whose_domain_is_evacuated)
+{
+    auto directory = directoryWithOne();
+    EXPECT_TRUE(directory.isEligible(*directory.find(name)));
+    directory.setEvacuated({ domain }, coldTime, at(10));
+    EXPECT_FALSE(directory.isEligible(*directory.find(name)));
+    directory.setEvacuated({}, coldTime, at(20));
+    EXPECT_TRUE(directory.isEligible(*directory.find(name)));
+    EXPECT_EQ(directory.find(name)->coldUntil, at(20) + coldTime);
+    auto draining = entryOf();
+    draining.isDraining = true;
+    directory.apply(draining, at(30));
+    EXPECT_FALSE(directory.isEligible(*directory.find(name)));
+}
+
+TEST(upstream_directory, forgets_what_it_learned_when_another_start_takes_the_name)
+{
+    auto directory = directoryWithOne();
+    directory.noteSent(name);
+    directory.noteEnded(name, reportOf(attempt_verdict::misdirected), coldTime, at(5));
+    EXPECT_FALSE(directory.isEligible(*directory.find(name)));
+    directory.apply(entryOf(1), at(10));
+    EXPECT_FALSE(directory.isEligible(*directory.find(name)));
+    directory.apply(entryOf(2), at(20));
+    EXPECT_TRUE(directory.isEligible(*directory.find(name)));
+}
+
+TEST(upstream_directory, avoids_an_unreachable_upstream_and_takes_it_for_cold_when_it_is_back)
+{
+    auto directory = directoryWithOne();
+    directory.noteSent(name);
+    directory.noteEnded(name, reportOf(attempt_verdict::unreachable), coldTime, at(10));
+    const auto avoidUntil = directory.find(name)->avoidUntil;
+    EXPECT_GT(avoidUntil, at(10));
+    EXPECT_EQ(directory.find(name)->coldUntil, avoidUntil + coldTime);
+}
+
+TEST(upstream_directory, does_not_avoid_an_upstream_for_one_broken_connection)
+{
+    auto directory = directoryWithOne();
+    directory.noteSent(name);
+    directory.noteEnded(name, reportOf(attempt_verdict::broken), coldTime, at(10));
+    EXPECT_LE(directory.find(name)->avoidUntil, at(10));
+}
+
+TEST(upstream_directory, adds_the_others_requests_to_its_own_and_trusts_a_report_less_as_it_ages)
+{
+    auto directory = directoryWithOne();
+    directory.noteSent(name);
+    directory.noteSent(name);
+    auto report = reportOf(attempt_verdict::served);
+    report.load = reported_load { 4, 2, 6 };
+    directory.noteEnded(name, report, coldTime, at(10));
+    EXPECT_DOUBLE_EQ(estimatedLoad(*directory.find(name), at(10)), 1 + 5);
+    EXPECT_LT(estimatedLoad(*directory.find(name), at(2000)), 1.5);
+}
+
+TEST(upstream_directory, lists_the_upstreams_of_a_service_and_forgets_those_that_left_the_list)
+{
+    auto directory = directoryWithOne();
+    EXPECT_EQ(directory.ofService(service_id("mostrador")).size(), 1U);
+    EXPECT_TRUE(directory.ofService(service_id("bodega")).empty());
+    directory.retainOnly({});
+    EXPECT_TRUE(directory.ofService(service_id("mostrador")).empty());
+}
+
+} // namespace flamingoroute
--- /dev/null
+++ b/tests/unit/proxy/caller_connection_test.cpp
@@ -0,0 +1,189 @@
+#include "flamingoroute/proxy/http_listener.hpp"
+
+#include "flamingoroute/model/error.hpp"
+#include "support/process/free_port.hpp"
+
+#include <Poco/Net/StreamSocket.h>
+#include <boost/asio/io_context.hpp>
+#include <gtest/gtest.h>
+
+#include <functional>
+
+namespace flamingoroute {
+
+namespace {
+
+/// A listener whose requests a test answers when it likes, and one caller on a raw socket.
+class listening_fixture {
+public:
+    listening_fixture()
+        : m_listener(
+            m_loop, [this](auto exchange) { open.push_back(std::move(exchange)); }, [this] { return limits; })
+    {
+        const auto where = testing::freeLoopbackEndpoint();
+        EXPECT_TRUE(m_listener.listen(where, 16));
+        m_caller.connect(Poco::Net::SocketAddress(where.address, where.port));
+        m_caller.setReceiveTimeout(Poco::Timespan(0, 20'000));
+    }
+
+    void send(const std::string& text)
+    {
+        m_caller.sendBytes(text.data(), static_cast<int>(text.size()));
+        run(30);
+    }
+
+    /// @return what has arrived
+    std::string receive()
+    {
+        run(30);
+        std::string text;
+        std::array<char, 65536> buffer {};
+        try {
+            for (int size = 1; size > 0;) {
+                size = m_caller.receiveBytes(buffer.data(), buffer.size());
+                isEnded = size == 0;
+                text.append(buffer.data(), static_cast<std::size_t>(std::max(0, size)));
+            }
+        } catch (const Poco::TimeoutException&) {
+            return text;
+        }
+        return text;
+    }
+
+    void leave() { m_caller.close(); }
+
+    void run(int ms)
+    {
+        m_loop.restart();
+        m_loop.run_for(milliseconds(ms));
+    }
+
+    http_listener& listener() { return m_listener; }
+
+    caller_limits limits;
+    std::vector<std::shared_ptr<caller_exchange>> open;
+    bool isEnded = false;
+
+private:
+    boost::asio::io_context m_loop;
+    http_listener m_listener;
+    Poco::Net::StreamSocket m_caller;
+};
+
+std::string requestFor(const std::string& target) { return "GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n"; }
+
+caller_answer answerWithBody(const std::string& body) { return { 200, {}, body }; }
+
+} // namespace
+
+TEST(caller_connection, hands_on_all_requests_sent_ahead_and_answers_them_in_their_order)
+{
+    listening_fixture node;
+    node.send(requestFor("/1") + requestFor("/2") + requestFor("/3"));
+    ASSERT_EQ(node.open.size(), 3U);
+    node.open[2]->answer(answerWithBody("three"), false);
+    node.open[0]->answer(answerWithBody("one"), false);
+    const auto early = node.receive();
+    EXPECT_NE(early.find("one"), std::string::npos);
+    EXPECT_EQ(early.find("three"), std::string::npos);
+    node.open[1]->answer(answerWithBody("two"), false);
+    const auto rest = node.receive();
+    EXPECT_LT(rest.find("two"), rest.find("three"));
+}
+
+TEST(caller_connection, reads_a_body_in_chunks_and_one_with_a_length)
+{
+    listening_fixture node;
+    node.send("POST /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+              "POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nfg");
+    ASSERT_EQ(node.open.size(), 2U);
+    EXPECT_EQ(node.open[0]->request.body, "abcde");
+    EXPECT_EQ(node.open[1]->request.body, "fg");
+}
+
+TEST(caller_connection, answers_400_to_what_is_no_request_and_431_and_413_to_what_is_too_large)
+{
+    listening_fixture malformed;
+    malformed.send("what is this\r\n\r\n");
+    EXPECT_EQ(malformed.receive().rfind("HTTP/1.1 400", 0), 0U);
+    listening_fixture wide;
+    wide.limits.headerBytes = 100;
+    wide.send("GET / HTTP/1.1\r\nX: " + std::string(200, 'x') + "\r\n\r\n");
+    EXPECT_EQ(wide.receive().rfind("HTTP/1.1 431", 0), 0U);
+    listening_fixture large;
+    large.limits.bodyBytes = 10;
+    large.send("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n");
+    EXPECT_EQ(large.receive().rfind("HTTP/1.1 413", 0), 0U);
+}
+
+TEST(caller_connection, never_takes_a_request_with_two_lengths_or_a_length_and_chunks)
+{
+    listening_fixture two;
+    two.send("POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab");
+    EXPECT_TRUE(two.open.empty());
+    listening_fixture both;
+    both.send("POST / HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+    EXPECT_TRUE(both.open.empty());
+}
+
+TEST(caller_connection, tells_of_a_caller_that_is_gone)
+{
+    listening_fixture node;
+    node.send(requestFor("/1"));
+    ASSERT_EQ(node.open.size(), 1U);
+    bool isGone = false;
+    node.open[0]->onGone = [&] { isGone = true; };
+    node.leave();
+    node.run(50);
+    EXPECT_TRUE(isGone);
+}
+
+TEST(caller_connection, ends_behind_its_last_answer_when_the_node_leaves)
+{
+    listening_fixture node;
+    node.send(requestFor("/1") + requestFor("/2"));
+    node.listener().endConnections();
+    EXPECT_TRUE(node.listener().isBusy());
+    node.open[0]->answer(answerWithBody("one"), false);
+    node.open[1]->answer(answerWithBody("two"), false);
+    const auto text = node.receive();
+    EXPECT_LT(text.find("one"), text.find("two"));
+    EXPECT_NE(text.find("Connection: close"), std::string::npos);
+    EXPECT_TRUE(node.isEnded);
+    node.run(50);
+    EXPECT_FALSE(node.listener().isBusy());
+}
+
+TEST(caller_connection, answers_408_to_a_header_that_does_not_end)
+{
+    listening_fixture node;
+    node.limits.headerTimeout = milliseconds(80);
+    node.send("GET / HTTP/1.1\r\nHost:");
+    node.run(150);
+    EXPECT_EQ(node.receive().rfind("HTTP/1.1 408", 0), 0U);
+}
+
+TEST(caller_connection, closes_an_idle_connection_after_the_idle_time_and_not_before)
+{
+    listening_fixture node;
+    node.limits.idleTimeout = milliseconds(200);
+    node.send(requestFor("/1"));
+    node.open[0]->answer(answerWithBody("one"), false);
+    node.receive();
+    EXPECT_FALSE(node.isEnded);
+    node.run(20000 / 50);
+    node.receive();
+    EXPECT_TRUE(node.isEnded);
+}
+
+TEST(caller_connection, tells_a_caller_to_go_on_that_waits_before_its_body)
+{
+    listening_fixture node;
+    node.send("POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+    EXPECT_EQ(node.receive().rfind("HTTP/1.1 100", 0), 0U);
+    node.send("ab");
+    ASSERT_EQ(node.open.size(), 1U);
+    EXPECT_EQ(node.open[0]->request.body, "ab");
+}
+
+} // namespace flamingoroute
