--- a/src/flamingoroute/fleet/fleet_members.cpp
+++ b/src/flamingoroute/fleet/fleet_members.cpp
@@ -123,6 +123,7 @@
         if (!isFresh(entry, now))
             continue;
         ++view.heard;
+        view.settled += entry.report.isSettled ? 1 : 0;
         for (const auto& demand : entry.report.demand) {
             if (demand.customer != customer.value())
                 continue;
--- a/src/flamingoroute/fleet/fleet_report.hpp
+++ b/src/flamingoroute/fleet/fleet_report.hpp
@@ -41,12 +41,13 @@
     std::string peerAddress;
     bool isReady = false; ///< takes callers
     bool isLeaving = false;
+    bool isSettled = false; ///< has run for a whole rate window, so that its counts are whole
     std::vector<customer_demand> demand;
     std::vector<version_tally> tallies;
 
     bool operator==(const fleet_report&) const = default;
     MSGPACK_DEFINE(
-        instance, failureDomain, region, callerAddress, peerAddress, isReady, isLeaving, demand, tallies)
+        instance, failureDomain, region, callerAddress, peerAddress, isReady, isLeaving, isSettled, demand, tallies)
 };
 
 } // namespace flamingoroute
--- a/src/flamingoroute/fleet/rate_split.cpp
+++ b/src/flamingoroute/fleet/rate_split.cpp
@@ -55,12 +55,11 @@
 bool rate_split::mayTakeCredit(
     const customer_policy& customer, const demand_view& view, double ownAdmitted, monotonic_time now) const
 {
-    // What the process before this one admitted is not known.
-    if (now - m_startedAt < m_bounds.rateWindow)
-        return false;
     const double limit = windowLimit(customer) * (1 + m_bounds.rateOvershoot) + m_bounds.rateSlack;
-    const double heard = static_cast<double>(view.heard) / static_cast<double>(std::max<std::size_t>(1, view.members));
-    return ownAdmitted + view.othersAdmitted + 1 <= creditPart * limit * std::min(1.0, heard);
+    // What an instance admitted before it restarted is not known, nor what one that is not heard admits.
+    const double known = static_cast<double>(view.settled + (isSettled(now) ? 1 : 0));
+    const double knownPart = known / static_cast<double>(std::max<std::size_t>(1, view.members));
+    return ownAdmitted + view.othersAdmitted + 1 <= creditPart * limit * std::min(1.0, knownPart);
 }
 
 milliseconds rate_split::admit(const customer_policy& customer, const demand_view& view, monotonic_time now)
--- a/src/flamingoroute/runtime/fleet_gossip.cpp
+++ b/src/flamingoroute/runtime/fleet_gossip.cpp
@@ -76,6 +76,7 @@
     report.peerAddress = toString(self.entryAddress);
     report.isReady = m_state.members.isSelfReady();
     report.isLeaving = m_state.isLeaving;
+    report.isSettled = m_state.rates.isSettled(monotonicNow());
     for (const auto& [customer, usage] : m_state.rates.usage(monotonicNow())) {
         if (usage.demand >= leastDemand || usage.admitted > 0)
             report.demand.push_back({ customer.value(), usage.demand, static_cast<std::uint32_t>(usage.admitted) });
--- a/tests/unit/fleet/rate_split_test.cpp
+++ b/tests/unit/fleet/rate_split_test.cpp
@@ -104,6 +104,7 @@
             if (other == which || !m_isHeard[which][other])
                 continue;
             ++view.heard;
+            view.settled += m_splits[other].isSettled(m_now) ? 1 : 0;
             view.ofHeard += m_reports[other].demand;
             view.othersAdmitted += m_reports[other].admitted + m_reports[other].demand * age;
         }
@@ -165,11 +166,23 @@
     EXPECT_FALSE(fleet.isOverLimit());
 }
 
+TEST(rate_split, refuses_hardly_anything_while_instances_restart_in_turn)
+{
+    rate_fleet fleet(9, 3);
+    fleet.play(8, 1.9, 0.3);
+    for (std::size_t i = 0; i < 9; ++i) {
+        fleet.restart(i);
+        fleet.play(2, 1.9, 0.3);
+    }
+    EXPECT_GT(fleet.admittedShare(), 0.97);
+    EXPECT_FALSE(fleet.isOverLimit());
+}
+
 TEST(rate_split, parts_of_the_sides_of_a_cut_sum_to_no_more_than_the_whole)
 {
     for (std::size_t heard = 1; heard <= 8; ++heard) {
-        demand_view left { 9, heard, 10, 10.0 * static_cast<double>(heard), 0 };
-        demand_view right { 9, 9 - heard, 10, 10.0 * static_cast<double>(9 - heard), 0 };
+        demand_view left { 9, heard, 0, 10, 10.0 * static_cast<double>(heard), 0 };
+        demand_view right { 9, 9 - heard, 0, 10, 10.0 * static_cast<double>(9 - heard), 0 };
         const double sum = rateShare(left) * static_cast<double>(heard) + rateShare(right) * static_cast<double>(9 - heard);
         EXPECT_LE(sum, 1.0 + 1e-9);
     }
