Write the log on standard output from a ring, by a thread of its own

Change: a bounded ring that drops and counts, one writer, answers of one attempt sampled by the hash of the request's id.

--- a/apps/flamingo_node.cpp
+++ b/apps/flamingo_node.cpp
@@ -33,6 +33,7 @@
     const auto started = node.start();
     if (!started) {
         event_line(log_level::error, "node.not_started").with(started.error());
+        stopLogging();
         return exit_code::unavailable;
     }
     loop.run();
--- a/src/flamingoroute/fleet/fleet_members.cpp
+++ b/src/flamingoroute/fleet/fleet_members.cpp
@@ -49,8 +49,8 @@
         noteRegistered(which, now);
         listed.insert(which.instance);
     }
-    std::erase_if(m_others,
-        [&](const auto& entry) { return !listed.contains(entry.first) && !isFresh(entry.second, now); });
+    std::erase_if(
+        m_others, [&](const auto& entry) { return !listed.contains(entry.first) && !isFresh(entry.second, now); });
 }
 
 void fleet_members::noteReport(const fleet_report& report, monotonic_time now)
--- a/src/flamingoroute/fleet/fleet_members.hpp
+++ b/src/flamingoroute/fleet/fleet_members.hpp
@@ -55,8 +55,7 @@
     demand_view demandFor(const customer_id& customer, monotonic_time now) const;
 
     /// @return instances that take callers, nearest first: of the domain, else of the region, else of any
-    std::vector<member> readyNear(
-        const failure_domain_id& domain, const region_id& region, monotonic_time now) const;
+    std::vector<member> readyNear(const failure_domain_id& domain, const region_id& region, monotonic_time now) const;
 
     /// @return names of all instances of @p region, this one included if it is there, sorted
     std::vector<instance_id> namesIn(const region_id& region) const;
--- a/src/flamingoroute/moves/version_gate.cpp
+++ b/src/flamingoroute/moves/version_gate.cpp
@@ -73,8 +73,7 @@
     return now - running.since >= duration - lead;
 }
 
-version_filter version_gate::filterFor(
-    const service_id& service, std::uint64_t requestHash, monotonic_time now) const
+version_filter version_gate::filterFor(const service_id& service, std::uint64_t requestHash, monotonic_time now) const
 {
     version_filter filter;
     const auto rolledBack = m_rolledBack.find(service);
--- a/src/flamingoroute/moves/version_gate.hpp
+++ b/src/flamingoroute/moves/version_gate.hpp
@@ -88,7 +88,8 @@
 
     double m_canaryShare;
     std::map<service_id, running_order> m_orders;
-    std::map<service_id, std::map<version_id, monotonic_time>> m_newVersions; ///< listed after the start, by first sight
+    std::map<service_id, std::map<version_id, monotonic_time>>
+        m_newVersions; ///< listed after the start, by first sight
     std::map<service_id, std::set<version_id>> m_rolledBack;
     std::map<service_id, std::set<version_id>> m_knownVersions;
 };
--- a/src/flamingoroute/placement/cold_gate.cpp
+++ b/src/flamingoroute/placement/cold_gate.cpp
@@ -30,8 +30,8 @@
     return microseconds(static_cast<std::int64_t>(microsecondsPerSecond / perSecond));
 }
 
-bool cold_gate::mayTake(const upstream_id& upstream, const std::vector<instance_id>& members, double coldRate,
-    monotonic_time now) const
+bool cold_gate::mayTake(
+    const upstream_id& upstream, const std::vector<instance_id>& members, double coldRate, monotonic_time now) const
 {
     if (coldRate <= 0)
         return true;
--- a/src/flamingoroute/placement/placement.cpp
+++ b/src/flamingoroute/placement/placement.cpp
@@ -48,8 +48,7 @@
 
 } // namespace
 
-std::vector<std::size_t> preferenceOrder(
-    std::uint64_t objectHash, const std::vector<placement_candidate>& candidates)
+std::vector<std::size_t> preferenceOrder(std::uint64_t objectHash, const std::vector<placement_candidate>& candidates)
 {
     std::vector<double> scores;
     scores.reserve(candidates.size());
@@ -63,8 +62,7 @@
     return order;
 }
 
-placement_choice choosePlacement(
-    const placement_request& request, const std::vector<placement_candidate>& candidates)
+placement_choice choosePlacement(const placement_request& request, const std::vector<placement_candidate>& candidates)
 {
     placement_choice choice;
     const auto order = preferenceOrder(request.objectHash, candidates);
@@ -79,8 +77,8 @@
         choice.expected = weighed.expected;
         choice.wait = weighed.wait;
     }
-    const auto allowedWait = microseconds(
-        static_cast<std::int64_t>(request.patience * static_cast<double>(request.objective.count())));
+    const auto allowedWait
+        = microseconds(static_cast<std::int64_t>(request.patience * static_cast<double>(request.objective.count())));
     // With a free slot it is always tried: what is expected may have been learned under other conditions.
     const bool isInTime = choice.wait == microseconds(0) || choice.expected <= request.timeLeft;
     const bool fits = choice.wait <= allowedWait && isInTime;
--- a/src/flamingoroute/placement/placement.hpp
+++ b/src/flamingoroute/placement/placement.hpp
@@ -25,12 +25,10 @@
 /// the first, which handled it lately and needs a fraction of the work, until that one's queue costs more than the work
 /// saved. Answers the load of a day whose work without this is more than all slots.
 /// A request that would wait so long that its answer would be late is refused at once.
-placement_choice choosePlacement(
-    const placement_request& request, const std::vector<placement_candidate>& candidates);
+placement_choice choosePlacement(const placement_request& request, const std::vector<placement_candidate>& candidates);
 
 /// @return the candidates' indexes in the order of preference of an object
-std::vector<std::size_t> preferenceOrder(
-    std::uint64_t objectHash, const std::vector<placement_candidate>& candidates);
+std::vector<std::size_t> preferenceOrder(std::uint64_t objectHash, const std::vector<placement_candidate>& candidates);
 
 } // namespace flamingoroute
 
--- a/src/flamingoroute/placement/upstream_directory.cpp
+++ b/src/flamingoroute/placement/upstream_directory.cpp
@@ -133,8 +133,7 @@
     if (report.load)
         learnLoad(upstream, *report.load, now);
     upstream.isGone = upstream.isGone || report.verdict == attempt_verdict::misdirected;
-    const bool isSilent
-        = report.verdict == attempt_verdict::broken || report.verdict == attempt_verdict::unreachable;
+    const bool isSilent = report.verdict == attempt_verdict::broken || report.verdict == attempt_verdict::unreachable;
     if (!isSilent) {
         upstream.failuresInRow = 0;
         upstream.lastAnswerAt = now;
--- a/src/flamingoroute/proxy/caller_connection.cpp
+++ b/src/flamingoroute/proxy/caller_connection.cpp
@@ -164,13 +164,13 @@
     entry->isKeepAlive = exchange->request.isKeepAlive;
     m_takesRequests = m_takesRequests && entry->isKeepAlive;
     m_open.push_back(entry);
-    exchange->answer = [weak = weak_from_this(), weakEntry = std::weak_ptr<open_answer>(entry)](
-                           caller_answer answer, bool isLast) {
-        const auto self = weak.lock();
-        const auto open = weakEntry.lock();
-        if (self && open)
-            self->settle(*open, std::move(answer), isLast);
-    };
+    exchange->answer
+        = [weak = weak_from_this(), weakEntry = std::weak_ptr<open_answer>(entry)](caller_answer answer, bool isLast) {
+              const auto self = weak.lock();
+              const auto open = weakEntry.lock();
+              if (self && open)
+                  self->settle(*open, std::move(answer), isLast);
+          };
     m_handler(std::move(exchange));
 }
 
--- a/src/flamingoroute/proxy/client_connection.cpp
+++ b/src/flamingoroute/proxy/client_connection.cpp
@@ -146,11 +146,12 @@
 {
     m_hasSent = true;
     m_isWriting = true;
-    asio::async_write(m_socket, asio::buffer(m_outgoing), [self = shared_from_this()](const socket_error& problem, std::size_t) {
-        self->m_isWriting = false;
-        if (problem)
-            self->onEnd(problem);
-    });
+    asio::async_write(
+        m_socket, asio::buffer(m_outgoing), [self = shared_from_this()](const socket_error& problem, std::size_t) {
+            self->m_isWriting = false;
+            if (problem)
+                self->onEnd(problem);
+        });
 }
 
 void client_connection::read()
@@ -248,8 +249,7 @@
     finish(std::move(result));
 }
 
-void client_connection::fail(
-    const std::string& step, const std::string& detail, bool isConnectFailure, bool wasCutOff)
+void client_connection::fail(const std::string& step, const std::string& detail, bool isConnectFailure, bool wasCutOff)
 {
     exchange_result result;
     result.outcome = m_hasSent ? attempt_outcome::unknown : attempt_outcome::not_sent;
--- a/src/flamingoroute/proxy/http_listener.cpp
+++ b/src/flamingoroute/proxy/http_listener.cpp
@@ -41,8 +41,7 @@
     if (!problem)
         m_acceptor.listen(acceptBacklog, problem);
     if (problem) {
-        return tl::unexpected(
-            error { error_code::unavailable, "http.listen", toString(where), problem.message() });
+        return tl::unexpected(error { error_code::unavailable, "http.listen", toString(where), problem.message() });
     }
     accept();
     return {};
--- a/src/flamingoroute/report/event_log.cpp
+++ b/src/flamingoroute/report/event_log.cpp
@@ -1,9 +1,14 @@
 #include "flamingoroute/report/event_log.hpp"
 
+#include "flamingoroute/report/internal/log_writer.hpp"
+
 #include <log4cplus/configurator.h>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/loggingmacros.h>
+#include <log4cplus/spi/loggingevent.h>
+
+#include <iostream>
 
 namespace flamingoroute {
 
@@ -62,13 +67,19 @@
     return log4cplus::INFO_LOG_LEVEL;
 }
 
+log_writer& writer()
+{
+    static log_writer instance;
+    return instance;
+}
+
 } // namespace
 
 void startLogging(const std::string& program, const std::string& instance, const std::string& level)
 {
     log4cplus::initialize();
-    const bool toStandardError = true;
-    const bool flushEachLine = true;
+    const bool toStandardError = false;
+    const bool flushEachLine = false;
     log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(toStandardError, flushEachLine));
     const std::string pattern = "time=%D{%Y-%m-%dT%H:%M:%S.%q}Z level=%p program=" + program
         + " instance=" + (needsQuotes(instance) ? quoted(instance) : instance) + " %m%n";
@@ -77,12 +88,17 @@
     root.removeAllAppenders();
     root.addAppender(appender);
     root.setLogLevel(levelNamed(level));
+    writer().start(
+        [](const log_line& line) {
+            auto target = log4cplus::Logger::getRoot();
+            const log4cplus::spi::InternalLoggingEvent event(
+                target.getName(), line.level, {}, {}, line.text, {}, {}, line.at, {}, 0);
+            target.callAppenders(event);
+        },
+        [] { std::cout.flush(); });
 }
 
-void stopLogging()
-{
-    log4cplus::Logger::shutdown();
-}
+void stopLogging() { writer().stop(); }
 
 event_line::event_line(log_level level, const std::string& event)
     : m_level(level)
@@ -94,7 +110,7 @@
 {
     auto root = log4cplus::Logger::getRoot();
     if (root.isEnabledFor(nativeLevel(m_level)))
-        root.forcedLog(nativeLevel(m_level), m_line);
+        writer().write({ nativeLevel(m_level), log4cplus::helpers::now(), std::move(m_line) });
 }
 
 event_line& event_line::with(const std::string& key, const std::string& value)
--- a/src/flamingoroute/report/event_log.hpp
+++ b/src/flamingoroute/report/event_log.hpp
@@ -17,7 +17,9 @@
     error,
 };
 
-/// Sets up logging for the process: one line of key=value pairs for each event, on standard error.
+/// Sets up logging for the process: one line of key=value pairs for each event, on standard output.
+/// Lines are written by a thread of their own; whoever logs never waits. If the writer falls behind, lines are dropped,
+/// and the next one that is written says how many.
 /// @param program names the program in each line
 /// @param instance names the instance in each line
 /// @param level "debug", "info", "warn" or "error"
--- a/src/flamingoroute/runtime/duty_thread.hpp
+++ b/src/flamingoroute/runtime/duty_thread.hpp
@@ -1,8 +1,8 @@
 #ifndef FLAMINGOROUTE_RUNTIME_DUTY_THREAD_HPP
 #define FLAMINGOROUTE_RUNTIME_DUTY_THREAD_HPP
 
+#include "flamingoroute/concurrency/bounded_ring.hpp"
 #include "flamingoroute/model/monotonic_time.hpp"
-#include "flamingoroute/runtime/bounded_ring.hpp"
 
 #include <atomic>
 #include <functional>
--- a/src/flamingoroute/runtime/fleet_gossip.cpp
+++ b/src/flamingoroute/runtime/fleet_gossip.cpp
@@ -27,8 +27,9 @@
     , m_ring(ringCapacity)
     , m_timer(state.loop)
 {
-    m_state.announceBroken
-        = [this](const std::string& fingerprint, const upstream_id& upstream) { announceBroken(fingerprint, upstream); };
+    m_state.announceBroken = [this](const std::string& fingerprint, const upstream_id& upstream) {
+        announceBroken(fingerprint, upstream);
+    };
 }
 
 fleet_gossip::~fleet_gossip() { stop(); }
@@ -133,8 +134,8 @@
         event_line(log_level::warn, "peer.unreadable").with(notice.error());
         return;
     }
-    m_state.quarantine.noteBroken(notice->fingerprint, upstream_id(notice->upstreamName),
-        milliseconds(notice->ageMs), monotonicNow());
+    m_state.quarantine.noteBroken(
+        notice->fingerprint, upstream_id(notice->upstreamName), milliseconds(notice->ageMs), monotonicNow());
 }
 
 } // namespace flamingoroute
--- a/src/flamingoroute/runtime/fleet_gossip.hpp
+++ b/src/flamingoroute/runtime/fleet_gossip.hpp
@@ -1,11 +1,11 @@
 #ifndef FLAMINGOROUTE_RUNTIME_FLEET_GOSSIP_HPP
 #define FLAMINGOROUTE_RUNTIME_FLEET_GOSSIP_HPP
 
+#include "flamingoroute/concurrency/bounded_ring.hpp"
 #include "flamingoroute/fleet/fleet_report.hpp"
 #include "flamingoroute/model/error.hpp"
 #include "flamingoroute/peers/envelope.hpp"
 #include "flamingoroute/peers/peer_bus.hpp"
-#include "flamingoroute/runtime/bounded_ring.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 #include <tl/expected.hpp>
--- a/src/flamingoroute/runtime/fleet_watch.cpp
+++ b/src/flamingoroute/runtime/fleet_watch.cpp
@@ -40,7 +40,9 @@
     , m_onSelfUnregistered(std::move(onSelfUnregistered))
 {
     m_configuration = makeWatcher(port.configurationKind,
-        { [this](const auto& objects) { std::for_each(objects.begin(), objects.end(), [this](const auto& object) { takeConfiguration(object); }); },
+        { [this](const auto& objects) {
+             std::for_each(objects.begin(), objects.end(), [this](const auto& object) { takeConfiguration(object); });
+         },
             [this](const object_event& event) {
                 if (!event.isDeleted)
                     takeConfiguration(event.object);
--- a/src/flamingoroute/runtime/fleet_watch.hpp
+++ b/src/flamingoroute/runtime/fleet_watch.hpp
@@ -17,8 +17,8 @@
 class fleet_watch {
 public:
     /// @param onSelfUnregistered called when this instance's own registration is missing
-    fleet_watch(serving_state& state, watched_store& store, const fleet_port& port,
-        std::function<void()> onSelfUnregistered);
+    fleet_watch(
+        serving_state& state, watched_store& store, const fleet_port& port, std::function<void()> onSelfUnregistered);
     ~fleet_watch();
 
     void start();
--- a/src/flamingoroute/runtime/run_node.hpp
+++ b/src/flamingoroute/runtime/run_node.hpp
@@ -34,10 +34,12 @@
     const auto started = node.start();
     if (!started) {
         event_line(log_level::error, "start.failed").with(started.error());
+        stopLogging();
         return exit_code::unavailable;
     }
     signal.wait();
     node.stop();
+    stopLogging();
     return exit_code::done;
 }
 
--- a/src/flamingoroute/runtime/serving_node.cpp
+++ b/src/flamingoroute/runtime/serving_node.cpp
@@ -52,11 +52,15 @@
     , m_state(loop, settings, m_port.headers, selfOf(settings))
     , m_watch(m_state, store, m_port, [this] { registerSelf(); })
     , m_gossip(m_state, [this] { onHeard(); })
-    , m_callers(loop, [this](auto exchange) { serve(std::move(exchange)); },
+    , m_callers(
+          loop, [this](auto exchange) { serve(std::move(exchange)); },
           [this] { return m_state.table ? m_state.table->source().limits : caller_limits {}; })
-    , m_readiness(loop, [this](auto exchange) { answerReadiness(*exchange); }, [] { return caller_limits {}; })
-    , m_lookups(loop, [this](auto exchange) { answerLookup(*exchange); }, [] { return caller_limits {}; })
-    , m_metrics(loop, [this](auto exchange) { answerMetrics(*exchange); }, [] { return caller_limits {}; })
+    , m_readiness(
+          loop, [this](auto exchange) { answerReadiness(*exchange); }, [] { return caller_limits {}; })
+    , m_lookups(
+          loop, [this](auto exchange) { answerLookup(*exchange); }, [] { return caller_limits {}; })
+    , m_metrics(
+          loop, [this](auto exchange) { answerMetrics(*exchange); }, [] { return caller_limits {}; })
     , m_signals(loop, SIGTERM, SIGINT, SIGHUP)
     , m_timer(loop)
     , m_leaveTimer(loop)
@@ -177,8 +181,7 @@
         exchange.answer(ownAnswer(isUnknownPath ? 404 : 400, question.error().detail), false);
         return;
     }
-    const auto near
-        = m_state.members.readyNear(question->failureDomain, question->region, monotonicNow());
+    const auto near = m_state.members.readyNear(question->failureDomain, question->region, monotonicNow());
     if (near.empty()) {
         exchange.answer(ownAnswer(503, "no_ready_instance"), false);
         return;
@@ -204,8 +207,8 @@
     for (const auto& [outcome, count] : m_state.counters.attempts)
         text.counter("flamingo_attempts_total", "Attempts by outcome.", { { "outcome", outcome } }, count);
     text.counter("flamingo_retries_total", "Repeated sendings.", {}, m_state.counters.retries);
-    text.counter("flamingo_upstream_connections_total", "Connections opened to upstreams.", {},
-        m_state.links.openedCount());
+    text.counter(
+        "flamingo_upstream_connections_total", "Connections opened to upstreams.", {}, m_state.links.openedCount());
     text.histogram("flamingo_answer_seconds", "Time to an upstream's answer.", {}, m_state.counters.answerTime);
     text.gauge("flamingo_configuration_version", "Version in force.", {},
         m_state.table ? static_cast<double>(m_state.table->version()) : 0);
--- a/src/flamingoroute/serving/own_answer.cpp
+++ b/src/flamingoroute/serving/own_answer.cpp
@@ -12,8 +12,8 @@
     if (retryAfter > milliseconds(0)) {
         constexpr double msPerSecond = 1000;
         std::array<char, 32> text {};
-        const int size = std::snprintf(
-            text.data(), text.size(), "%.3f", static_cast<double>(retryAfter.count()) / msPerSecond);
+        const int size
+            = std::snprintf(text.data(), text.size(), "%.3f", static_cast<double>(retryAfter.count()) / msPerSecond);
         answer.headers.push_back({ "Retry-After", std::string(text.data(), static_cast<std::size_t>(size)) });
     }
     return answer;
--- a/src/flamingoroute/serving/request_flow.cpp
+++ b/src/flamingoroute/serving/request_flow.cpp
@@ -36,6 +36,8 @@
 constexpr double patienceOfFirst = 0.8;
 constexpr double patienceOfOthers = 0.5;
 constexpr int firstRanks = 1;
+/// Of the answers that took one attempt, the log shows one in this many; the same ones on each run.
+constexpr std::uint64_t plainAnswersPerLine = 16;
 
 std::string bearerKey(const std::vector<http_header>& headers)
 {
@@ -45,8 +47,7 @@
 }
 
 /// @return the regions in both lists; an empty list stands for all regions
-std::optional<std::set<region_id>> commonHomes(
-    const std::vector<region_id>& left, const std::vector<region_id>& right)
+std::optional<std::set<region_id>> commonHomes(const std::vector<region_id>& left, const std::vector<region_id>& right)
 {
     if (left.empty() && right.empty())
         return std::nullopt;
@@ -148,8 +149,7 @@
 bool request_flow::setTimeLimits()
 {
     const auto& request = m_exchange->request;
-    const auto waits
-        = millisecondsIn(headerValue(request.headers, m_state.headers.remainingTime), longestDeadline);
+    const auto waits = millisecondsIn(headerValue(request.headers, m_state.headers.remainingTime), longestDeadline);
     m_callerDeadline = m_exchange->arrivedAt + std::min(waits, longestDeadline);
     const auto timeout = m_rule->timeout > milliseconds(0) ? m_rule->timeout : longestDeadline;
     m_limit = std::min(m_callerDeadline, m_exchange->arrivedAt + timeout);
@@ -221,9 +221,8 @@
         return;
     }
     const bool isFull = chosen.reason == selection_reason::no_room;
-    const auto retryAfter = isFull
-        ? std::chrono::duration_cast<milliseconds>(chosen.wait) + retryAfterWithoutUpstream
-        : retryAfterWithoutUpstream;
+    const auto retryAfter = isFull ? std::chrono::duration_cast<milliseconds>(chosen.wait) + retryAfterWithoutUpstream
+                                   : retryAfterWithoutUpstream;
     refuse(503, isFull ? "no_capacity" : "no_healthy_upstream", retryAfter);
 }
 
@@ -299,8 +298,8 @@
         m_state.paths.learn(upstream->region, result.connectTime);
     const auto pathDelay = upstream == nullptr ? microseconds(0) : m_state.paths.to(upstream->region);
     const auto taken = std::max(microseconds(0), monotonicNow() - m_sentAt - result.connectTime - pathDelay);
-    const bool isTypical = meaning.verdict == attempt_verdict::served && m_chosen.wait == microseconds(0)
-        && !m_chosen.isCold;
+    const bool isTypical
+        = meaning.verdict == attempt_verdict::served && m_chosen.wait == microseconds(0) && !m_chosen.isCold;
     if (isTypical)
         m_state.times.learn(*m_rule, taken, m_chosen.isKnownWarm || !m_rule->isSticky);
     const auto cold = m_state.times.of(*m_rule).cold;
@@ -459,7 +458,9 @@
 
 void request_flow::log(const std::string& decision, int status) const
 {
-    event_line line(decision == "answered" ? log_level::debug : log_level::info, "request");
+    const bool isPlain = decision == "answered" && m_tries == 1;
+    const bool isSampled = hash64(m_requestId) % plainAnswersPerLine == 0;
+    event_line line(isPlain && !isSampled ? log_level::debug : log_level::info, "request");
     line.with("decision", decision).with("request", m_requestId).with("status", status);
     if (m_rule != nullptr)
         line.with("rule", m_rule->name).with("version", m_table->version());
--- a/src/flamingoroute/serving/upstream_links.cpp
+++ b/src/flamingoroute/serving/upstream_links.cpp
@@ -34,8 +34,8 @@
 void upstream_links::giveBack(const listed_upstream& upstream, std::shared_ptr<client_connection> connection)
 {
     auto& idle = m_idle[upstream.name];
-    const bool isKept = connection->isReusable() && idle.address == upstream.address
-        && idle.connections.size() < maxIdlePerUpstream;
+    const bool isKept
+        = connection->isReusable() && idle.address == upstream.address && idle.connections.size() < maxIdlePerUpstream;
     if (isKept)
         idle.connections.push_back(std::move(connection));
 }
--- a/src/flamingoroute/serving/upstream_selector.cpp
+++ b/src/flamingoroute/serving/upstream_selector.cpp
@@ -78,7 +78,8 @@
         [&](const upstream_state* upstream) { return isAllowed(*upstream, query, versions, now); });
     prefer(allowed, [&](const upstream_state* upstream) { return upstream->avoidUntil <= now; });
     if (versions.preferred)
-        prefer(allowed, [&](const upstream_state* upstream) { return upstream->listed.version == *versions.preferred; });
+        prefer(
+            allowed, [&](const upstream_state* upstream) { return upstream->listed.version == *versions.preferred; });
     if (versions.avoided)
         prefer(allowed, [&](const upstream_state* upstream) { return upstream->listed.version != *versions.avoided; });
     return allowed;
--- a/tests/unit/placement/cold_gate_test.cpp
+++ b/tests/unit/placement/cold_gate_test.cpp
@@ -13,6 +13,7 @@
 std::vector<instance_id> membersNamed(int count)
 {
     std::vector<instance_id> members;
+    members.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
         members.emplace_back("entry-" + std::to_string(i));
     return members;
@@ -27,6 +28,7 @@
         auto otherView = members;
         otherView.pop_back();
         std::vector<cold_gate> gates;
+        gates.reserve(members.size());
         for (const auto& member : members)
             gates.emplace_back(member, overshoot, slack);
         std::vector<int> sentAtMs;
--- a/tests/unit/serving/request_flow_test.cpp
+++ b/tests/unit/serving/request_flow_test.cpp
@@ -9,11 +9,11 @@
 
 namespace {
 
+using Poco::Net::StreamSocket;
 using testing::headerIn;
 using testing::raw_upstream;
 using testing::serving_fixture;
 using testing::signedAnswer;
-using Poco::Net::StreamSocket;
 
 /// Answers each request of a connection with @p status.
 raw_upstream::script answering(const std::string& status, const std::string& extraHeaders = "")
