Read the store and add up reports through two relays in each region of a large fleet

Ruled out: longer waits (most calls are returns with changes), fewer kinds. Change: above 16 instances two relays a region, by rendezvous hashing, watch the store and pass changes on; instances report to them; they add up and tell their region and the other regions' relays. Whoever hears no relay that the store answers reads for itself; a missed change is seen by its revision and listed anew.

--- /dev/null
+++ b/src/flamingoroute/fleet/digest_book.cpp
@@ -0,0 +1,86 @@
+#include "flamingoroute/fleet/digest_book.hpp"
+
+#include <algorithm>
+
+namespace flamingoroute {
+
+namespace {
+
+/// Three digests in a row that did not come.
+constexpr microseconds relayFreshFor { 2'200'000 };
+constexpr microseconds sumFreshFor { 4'000'000 };
+
+} // namespace
+
+digest_book::digest_book(region_id own)
+    : m_own(std::move(own))
+{
+}
+
+void digest_book::noteSum(const region_sum& sum, monotonic_time now)
+{
+    const auto addedUpAt = now - milliseconds(sum.ageMs);
+    auto& known = m_sums[region_id(sum.region)];
+    if (known.sum.region.empty() || addedUpAt > known.at)
+        known = { sum, addedUpAt };
+}
+
+void digest_book::note(const region_digest& digest, monotonic_time now)
+{
+    m_relays[instance_id(digest.sender)] = { digest, now };
+    noteSum(digest.sum, now);
+    for (const auto& sum : digest.others) {
+        if (sum.region != m_own.value())
+            noteSum(sum, now);
+    }
+}
+
+std::vector<region_sum> digest_book::freshSums(monotonic_time now) const
+{
+    std::vector<region_sum> result;
+    for (const auto& [region, known] : m_sums) {
+        if (now - known.at >= sumFreshFor)
+            continue;
+        result.push_back(known.sum);
+        result.back().ageMs
+            = static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(now - known.at).count());
+    }
+    return result;
+}
+
+std::vector<endpoint> digest_book::relaysOf(const region_id& region, monotonic_time now) const
+{
+    std::vector<endpoint> result;
+    for (const auto& [name, relay] : m_relays) {
+        endpoint address;
+        const bool isThere = relay.digest.sum.region == region.value() && now - relay.at < relayFreshFor;
+        if (isThere && parseEndpoint(relay.digest.senderAddress, address))
+            result.push_back(address);
+    }
+    return result;
+}
+
+bool digest_book::isConnected(const heard_relay& relay, monotonic_time now) const
+{
+    return relay.digest.sum.region == m_own.value() && relay.digest.isStoreConnected && now - relay.at < relayFreshFor;
+}
+
+bool digest_book::hasConnectedRelay(monotonic_time now) const
+{
+    return std::any_of(
+        m_relays.begin(), m_relays.end(), [&](const auto& entry) { return isConnected(entry.second, now); });
+}
+
+std::uint64_t digest_book::positionOf(const std::string& kind, monotonic_time now) const
+{
+    std::uint64_t farthest = 0;
+    for (const auto& [name, relay] : m_relays) {
+        if (!isConnected(relay, now))
+            continue;
+        for (const auto& position : relay.digest.positions)
+            farthest = std::max(farthest, position.kind == kind ? position.revision : 0);
+    }
+    return farthest;
+}
+
+} // namespace flamingoroute
--- a/src/flamingoroute/fleet/fleet_members.cpp
+++ b/src/flamingoroute/fleet/fleet_members.cpp
@@ -1,5 +1,7 @@
 #include "flamingoroute/fleet/fleet_members.hpp"
 
+#include "flamingoroute/peers/rendezvous.hpp"
+
 #include <algorithm>
 
 namespace flamingoroute {
@@ -8,6 +10,14 @@
 
 /// Three reports in a row that did not come.
 constexpr microseconds freshFor { 1'700'000 };
+/// The same for what comes through relays, which is a hop and an interval later.
+constexpr microseconds relayedFreshFor { 3'500'000 };
+/// An instance that was never heard may be about to speak.
+constexpr microseconds silenceAllowed { 3'000'000 };
+/// Up to this size each instance reports to each other one.
+constexpr std::size_t mostWithoutRelays = 16;
+constexpr std::size_t relaysPerRegion = 2;
+constexpr double millisecondsPerSecond = 1000;
 /// Longer than any outage of a path that the fleet should bear without registering anew.
 constexpr microseconds lostAfter { 30'000'000 };
 
@@ -22,10 +32,27 @@
     return isWhole ? std::optional(result) : std::nullopt;
 }
 
+void addTallies(std::vector<version_tally>& totals, const std::vector<version_tally>& parts)
+{
+    for (const auto& part : parts) {
+        const auto known = std::find_if(totals.begin(), totals.end(),
+            [&](const version_tally& total) { return total.service == part.service && total.version == part.version; });
+        if (known == totals.end()) {
+            totals.push_back(part);
+            continue;
+        }
+        known->attempts += part.attempts;
+        known->failures += part.failures;
+        known->slow += part.slow;
+        known->ageMs = std::max(known->ageMs, part.ageMs);
+    }
+}
+
 } // namespace
 
 fleet_members::fleet_members(member self)
     : m_self(std::move(self))
+    , m_digests(m_self.region)
 {
 }
 
@@ -64,11 +91,21 @@
     entry->second.where = *sender;
     entry->second.report = report;
     entry->second.heardAt = now;
+    entry->second.reportedAt = now;
+    entry->second.isSeenReady = report.isReady && !report.isLeaving;
 }
 
 bool fleet_members::isFresh(const other_member& which, monotonic_time now) const
 {
-    return which.heardAt != monotonic_time::min() && now - which.heardAt < freshFor;
+    const auto limit = usesRelays() ? relayedFreshFor : freshFor;
+    return which.heardAt != monotonic_time::min() && now - which.heardAt < limit;
+}
+
+bool fleet_members::isReporting(const other_member& which, monotonic_time now) const
+{
+    // Not by a relay's word: two relays would keep an instance alive by each other's.
+    const bool isRecent = which.reportedAt != monotonic_time::min() && now - which.reportedAt < freshFor;
+    return isRecent && which.where.region == m_self.region;
 }
 
 std::size_t fleet_members::heardCount(monotonic_time now) const
@@ -87,7 +124,8 @@
 bool fleet_members::isLost(const instance_id& which, monotonic_time now) const
 {
     const auto known = m_others.find(which);
-    if (known == m_others.end())
+    // Instances of other regions are heard through relays only, if at all.
+    if (known == m_others.end() || (usesRelays() && known->second.where.region != m_self.region))
         return false;
     return now - std::max(known->second.heardAt, known->second.knownSince) > lostAfter;
 }
@@ -100,18 +138,172 @@
     return result;
 }
 
-std::vector<fleet_report> fleet_members::freshReports(monotonic_time now) const
+bool fleet_members::usesRelays() const { return size() > mostWithoutRelays; }
+
+std::vector<instance_id> fleet_members::relayNames(monotonic_time now) const
+{
+    std::vector<instance_id> candidates { m_self.instance };
+    for (const auto& [name, entry] : m_others) {
+        const bool isNew = now - entry.knownSince < silenceAllowed;
+        if (entry.where.region == m_self.region && (isNew || isFresh(entry, now)))
+            candidates.push_back(name);
+    }
+    return pickByRendezvous("relay", candidates, relaysPerRegion);
+}
+
+bool fleet_members::isRelay(monotonic_time now) const
+{
+    const auto names = relayNames(now);
+    return !usesRelays() || std::find(names.begin(), names.end(), m_self.instance) != names.end();
+}
+
+std::vector<member> fleet_members::relays(monotonic_time now) const
+{
+    std::vector<member> result;
+    for (const auto& name : relayNames(now)) {
+        if (name != m_self.instance)
+            result.push_back(m_others.at(name).where);
+    }
+    return result;
+}
+
+std::vector<member> fleet_members::regionOthers() const
 {
-    std::vector<fleet_report> result;
+    std::vector<member> result;
     for (const auto& [name, entry] : m_others) {
-        if (isFresh(entry, now))
-            result.push_back(entry.report);
+        if (entry.where.region == m_self.region)
+            result.push_back(entry.where);
     }
     return result;
 }
 
+std::vector<endpoint> fleet_members::foreignRelays(monotonic_time now) const
+{
+    std::map<region_id, std::vector<instance_id>> byRegion;
+    for (const auto& [name, entry] : m_others) {
+        if (entry.where.region != m_self.region)
+            byRegion[entry.where.region].push_back(name);
+    }
+    std::vector<endpoint> result;
+    for (const auto& [region, names] : byRegion) {
+        const auto heard = m_digests.relaysOf(region, now);
+        result.insert(result.end(), heard.begin(), heard.end());
+        if (!heard.empty())
+            continue;
+        for (const auto& name : pickByRendezvous("relay", names, relaysPerRegion))
+            result.push_back(m_others.at(name).where.entryAddress);
+    }
+    return result;
+}
+
+region_sum fleet_members::sumOfRegion(monotonic_time now) const
+{
+    region_sum sum;
+    sum.region = m_self.region.value();
+    std::map<std::string, customer_demand> demand;
+    const auto add = [&](const fleet_report& report) {
+        ++sum.heard;
+        sum.settled += report.isSettled ? 1 : 0;
+        for (const auto& part : report.demand) {
+            auto& total = demand[part.customer];
+            total.customer = part.customer;
+            total.perSecond += part.perSecond;
+            total.admitted += part.admitted;
+        }
+        addTallies(sum.tallies, report.tallies);
+    };
+    add(m_ownReport);
+    for (const auto& [name, entry] : m_others) {
+        if (isReporting(entry, now))
+            add(entry.report);
+    }
+    for (auto& [customer, total] : demand)
+        sum.demand.push_back(std::move(total));
+    return sum;
+}
+
+std::vector<member_sight> fleet_members::sights(monotonic_time now) const
+{
+    std::vector<member_sight> result { { m_self.instance.value(), m_isSelfReady } };
+    for (const auto& [name, entry] : m_others) {
+        if (isReporting(entry, now))
+            result.push_back({ name.value(), entry.report.isReady && !entry.report.isLeaving });
+    }
+    return result;
+}
+
+void fleet_members::noteDigest(const region_digest& digest, monotonic_time now)
+{
+    m_digests.note(digest, now);
+    for (const auto& sight : digest.members) {
+        const auto known = m_others.find(instance_id(sight.instance));
+        if (known == m_others.end())
+            continue;
+        known->second.heardAt = now;
+        known->second.isSeenReady = sight.isReady;
+    }
+}
+
+std::vector<version_tally> fleet_members::foreignTallies(monotonic_time now) const
+{
+    std::vector<version_tally> result;
+    if (!usesRelays()) {
+        for (const auto& [name, entry] : m_others) {
+            if (isFresh(entry, now))
+                addTallies(result, entry.report.tallies);
+        }
+        return result;
+    }
+    for (const auto& sum : m_digests.freshSums(now))
+        addTallies(result, sum.tallies);
+    // The own region's sum holds what this instance reported.
+    for (auto& tally : result) {
+        for (const auto& own : m_ownReport.tallies) {
+            if (own.service != tally.service || own.version != tally.version)
+                continue;
+            tally.attempts -= std::min(tally.attempts, own.attempts);
+            tally.failures -= std::min(tally.failures, own.failures);
+            tally.slow -= std::min(tally.slow, own.slow);
+        }
+    }
+    return result;
+}
+
+demand_view fleet_members::demandOfDigests(const customer_id& customer, monotonic_time now) const
+{
+    demand_view view;
+    view.members = size();
+    double ownAdmitted = 0;
+    for (const auto& demand : m_ownReport.demand) {
+        if (demand.customer != customer.value())
+            continue;
+        view.own = demand.perSecond;
+        ownAdmitted = demand.admitted;
+    }
+    double admitted = 0;
+    std::size_t heard = 0;
+    for (const auto& sum : m_digests.freshSums(now)) {
+        heard += sum.heard;
+        view.settled += sum.settled;
+        for (const auto& demand : sum.demand) {
+            if (demand.customer != customer.value())
+                continue;
+            view.ofHeard += demand.perSecond;
+            admitted += demand.admitted + demand.perSecond * sum.ageMs / millisecondsPerSecond;
+        }
+    }
+    view.heard = std::clamp<std::size_t>(heard, 1, view.members);
+    view.ofHeard = std::max(view.ofHeard, view.own);
+    view.othersAdmitted = std::max(0.0, admitted - ownAdmitted);
+    // The own region's sum counts this instance, which the caller counts by itself.
+    view.settled -= view.settled > 0 && m_ownReport.isSettled ? 1 : 0;
+    return view;
+}
+
 demand_view fleet_members::demandFor(const customer_id& customer, monotonic_time now) const
 {
+    if (usesRelays())
+        return demandOfDigests(customer, now);
     demand_view view;
     view.members = size();
     for (const auto& demand : m_ownReport.demand) {
@@ -142,7 +334,7 @@
     if (m_isSelfReady)
         ready.push_back(m_self);
     for (const auto& [name, entry] : m_others) {
-        if (isFresh(entry, now) && entry.report.isReady && !entry.report.isLeaving)
+        if (isFresh(entry, now) && entry.isSeenReady)
             ready.push_back(entry.where);
     }
     const auto keep = [&](auto isNear) {
--- a/src/flamingoroute/fleet/fleet_members.hpp
+++ b/src/flamingoroute/fleet/fleet_members.hpp
@@ -1,6 +1,7 @@
 #ifndef FLAMINGOROUTE_FLEET_FLEET_MEMBERS_HPP
 #define FLAMINGOROUTE_FLEET_FLEET_MEMBERS_HPP
 
+#include "flamingoroute/fleet/digest_book.hpp"
 #include "flamingoroute/fleet/fleet_report.hpp"
 #include "flamingoroute/fleet/rate_split.hpp"
 #include "flamingoroute/model/member.hpp"
@@ -26,6 +27,9 @@
     /// Told of a report that another instance sent.
     void noteReport(const fleet_report& report, monotonic_time now);
 
+    /// Told of a relay's digest.
+    void noteDigest(const region_digest& digest, monotonic_time now);
+
     /// Told of the report that this instance sends. Parts of rates follow what was reported, this instance's too, so
     /// that all instances split by the same numbers.
     void noteOwnReport(const fleet_report& report) { m_ownReport = report; }
@@ -48,8 +52,31 @@
     /// @return the others, to send reports to
     std::vector<member> others() const;
 
-    /// @return the reports of instances heard lately
-    std::vector<fleet_report> freshReports(monotonic_time now) const;
+    /// @return whether the fleet is so large that reports go through relays
+    bool usesRelays() const;
+
+    /// @return whether this instance is a relay of its region, or each instance reads the store for itself
+    bool isRelay(monotonic_time now) const;
+
+    /// @return the relays of this instance's region, without this instance
+    std::vector<member> relays(monotonic_time now) const;
+
+    /// @return the other instances of this instance's region
+    std::vector<member> regionOthers() const;
+
+    /// @return where relays of other regions are, as far as is known
+    std::vector<endpoint> foreignRelays(monotonic_time now) const;
+
+    /// @return what the instances of this region reported to this one, added up
+    region_sum sumOfRegion(monotonic_time now) const;
+
+    /// @return whom of its region this instance hears, itself included
+    std::vector<member_sight> sights(monotonic_time now) const;
+
+    const digest_book& digests() const { return m_digests; }
+
+    /// @return what others counted of versions under roll-out
+    std::vector<version_tally> foreignTallies(monotonic_time now) const;
 
     /// @return what this instance and the others reported of a customer
     demand_view demandFor(const customer_id& customer, monotonic_time now) const;
@@ -66,15 +93,21 @@
     struct other_member {
         member where;
         fleet_report report;
-        monotonic_time heardAt = monotonic_time::min();
+        monotonic_time heardAt = monotonic_time::min(); ///< by its own report or a relay's word
+        monotonic_time reportedAt = monotonic_time::min(); ///< by its own report
         monotonic_time knownSince;
+        bool isSeenReady = false; ///< takes callers, by its own word or a relay's
         bool isRegistered = false;
     };
 
     bool isFresh(const other_member& which, monotonic_time now) const;
+    bool isReporting(const other_member& which, monotonic_time now) const;
+    std::vector<instance_id> relayNames(monotonic_time now) const;
+    demand_view demandOfDigests(const customer_id& customer, monotonic_time now) const;
 
     member m_self;
     fleet_report m_ownReport;
+    digest_book m_digests;
     bool m_isSelfReady = false;
     std::map<instance_id, other_member> m_others;
 };
--- a/src/flamingoroute/peers/envelope.hpp
+++ b/src/flamingoroute/peers/envelope.hpp
@@ -35,6 +35,9 @@
     usage_report = 50,
     burn_usage = 51,
     fleet_report = 60,
+    region_digest = 61,
+    store_batch = 62,
+    quarantine_forward = 63,
 };
 
 /// A message between two processes of the system.
--- a/src/flamingoroute/runtime/fleet_gossip.cpp
+++ b/src/flamingoroute/runtime/fleet_gossip.cpp
@@ -14,15 +14,22 @@
 
 /// Three lost reports in a row make an instance count as gone, which callers notice within two seconds.
 constexpr milliseconds reportInterval { 500 };
+/// Digests go to many instances.
+constexpr std::uint64_t ticksPerDigest = 2;
 constexpr std::size_t ringCapacity = 1024;
 /// Demand below this is left out of reports.
 constexpr double leastDemand = 0.05;
 
+void logUnreadable(const envelope& message, const error& failure)
+{
+    event_line(log_level::warn, "peer.unreadable").with("peer", message.from.value()).with(failure);
+}
+
 } // namespace
 
-fleet_gossip::fleet_gossip(serving_state& state, std::function<void()> onHeard)
+fleet_gossip::fleet_gossip(serving_state& state, hooks tell)
     : m_state(state)
-    , m_onHeard(std::move(onHeard))
+    , m_tell(std::move(tell))
     , m_bus(state.settings.instance, process_role::entry, newIncarnation())
     , m_ring(ringCapacity)
     , m_timer(state.loop)
@@ -59,6 +66,10 @@
     if (m_isStopped)
         return;
     report();
+    ++m_ticks;
+    const bool isDigestDue = m_state.members.usesRelays() && m_ticks % ticksPerDigest == 0;
+    if (isDigestDue && m_state.members.isRelay(monotonicNow()))
+        sendDigest();
     m_timer.expires_after(reportInterval);
     m_timer.async_wait([this](const boost::system::error_code& cancelled) {
         if (!cancelled)
@@ -80,7 +91,8 @@
     report.isSettled = m_state.rates.isSettled(monotonicNow());
     for (const auto& [customer, usage] : m_state.rates.usage(monotonicNow())) {
         if (usage.demand >= leastDemand || usage.admitted > 0)
-            report.demand.push_back({ customer.value(), usage.demand, static_cast<std::uint32_t>(usage.admitted) });
+            report.demand.push_back(
+                { customer.value(), static_cast<float>(usage.demand), static_cast<std::uint32_t>(usage.admitted) });
     }
     report.tallies = m_state.versions.tallies(monotonicNow());
     return report;
@@ -91,13 +103,55 @@
     const auto own = ownReport();
     m_state.members.noteOwnReport(own);
     const std::string body = packBody(own);
-    for (const auto& other : m_state.members.others())
+    const auto to = m_state.members.usesRelays() ? m_state.members.relays(monotonicNow()) : m_state.members.others();
+    for (const auto& other : to)
         m_bus.send(other.entryAddress, message_kind::fleet_report, body);
 }
 
+void fleet_gossip::sendDigest()
+{
+    const auto now = monotonicNow();
+    region_digest digest;
+    digest.sender = m_state.settings.instance.value();
+    digest.senderAddress = toString(m_state.settings.peers);
+    digest.sum = m_state.members.sumOfRegion(now);
+    const std::string forOtherRegions = packBody(digest);
+    for (const auto& relay : m_state.members.foreignRelays(now))
+        m_bus.send(relay, message_kind::region_digest, forOtherRegions);
+    digest.members = m_state.members.sights(now);
+    for (const auto& sum : m_state.members.digests().freshSums(now)) {
+        if (sum.region != digest.sum.region)
+            digest.others.push_back(sum);
+    }
+    m_tell.describeStore(digest);
+    m_state.members.noteDigest(digest, now);
+    const std::string forOwnRegion = packBody(digest);
+    for (const auto& other : m_state.members.regionOthers())
+        m_bus.send(other.entryAddress, message_kind::region_digest, forOwnRegion);
+}
+
+void fleet_gossip::relayBatch(const store_batch& batch)
+{
+    if (!m_state.members.usesRelays() || !m_state.members.isRelay(monotonicNow()))
+        return;
+    const std::string body = packBody(batch);
+    for (const auto& other : m_state.members.regionOthers())
+        m_bus.send(other.entryAddress, message_kind::store_batch, body);
+}
+
 void fleet_gossip::announceBroken(const std::string& fingerprint, const upstream_id& upstream)
 {
     const std::string body = packBody(quarantine_notice { fingerprint, upstream.value(), 0 });
+    if (!m_state.members.usesRelays() || m_state.members.isRelay(monotonicNow())) {
+        forwardNotice(body);
+        return;
+    }
+    for (const auto& relay : m_state.members.relays(monotonicNow()))
+        m_bus.send(relay.entryAddress, message_kind::quarantine_forward, body);
+}
+
+void fleet_gossip::forwardNotice(const std::string& body)
+{
     for (const auto& other : m_state.members.others())
         m_bus.send(other.entryAddress, message_kind::quarantine_notice, body);
 }
@@ -112,19 +166,51 @@
 
 void fleet_gossip::take(const envelope& message)
 {
-    if (message.kind == message_kind::quarantine_notice) {
+    switch (message.kind) {
+    case message_kind::fleet_report:
+        takeReport(message);
+        return;
+    case message_kind::region_digest:
+        takeDigest(message);
+        return;
+    case message_kind::store_batch:
+        if (const auto batch = unpackBody<store_batch>(message.body))
+            m_tell.onBatch(*batch);
+        else
+            logUnreadable(message, batch.error());
+        return;
+    case message_kind::quarantine_forward:
+        forwardNotice(message.body);
         takeNotice(message.body);
         return;
-    }
-    if (message.kind != message_kind::fleet_report)
+    case message_kind::quarantine_notice:
+        takeNotice(message.body);
         return;
+    default:
+        return;
+    }
+}
+
+void fleet_gossip::takeReport(const envelope& message)
+{
     const auto report = unpackBody<fleet_report>(message.body);
     if (!report) {
-        event_line(log_level::warn, "peer.unreadable").with("peer", message.from.value()).with(report.error());
+        logUnreadable(message, report.error());
         return;
     }
     m_state.members.noteReport(*report, monotonicNow());
-    m_onHeard();
+    m_tell.onHeard();
+}
+
+void fleet_gossip::takeDigest(const envelope& message)
+{
+    const auto digest = unpackBody<region_digest>(message.body);
+    if (!digest) {
+        logUnreadable(message, digest.error());
+        return;
+    }
+    m_state.members.noteDigest(*digest, monotonicNow());
+    m_tell.onHeard();
 }
 
 void fleet_gossip::takeNotice(const std::string& body)
--- a/src/flamingoroute/runtime/fleet_gossip.hpp
+++ b/src/flamingoroute/runtime/fleet_gossip.hpp
@@ -3,6 +3,8 @@
 
 #include "flamingoroute/concurrency/bounded_ring.hpp"
 #include "flamingoroute/fleet/fleet_report.hpp"
+#include "flamingoroute/fleet/region_digest.hpp"
+#include "flamingoroute/fleet/store_batch.hpp"
 #include "flamingoroute/model/error.hpp"
 #include "flamingoroute/peers/envelope.hpp"
 #include "flamingoroute/peers/peer_bus.hpp"
@@ -21,8 +23,17 @@
 /// through a bounded ring; a full ring drops them.
 class fleet_gossip {
 public:
-    /// @param onHeard called on the event loop after each report of another instance
-    fleet_gossip(serving_state& state, std::function<void()> onHeard);
+    /// What the gossip asks of its node and tells it, always on the event loop.
+    struct hooks {
+        /// Called after each report or digest of another instance.
+        std::function<void()> onHeard;
+        /// Fills in what a relay's digest says of the store.
+        std::function<void(region_digest&)> describeStore;
+        /// Called for changes of the store that a relay passed on.
+        std::function<void(const store_batch&)> onBatch;
+    };
+
+    fleet_gossip(serving_state& state, hooks tell);
     ~fleet_gossip();
 
     tl::expected<void, error> start();
@@ -31,16 +42,24 @@
     /// Sends a report now, besides the steady ones.
     void report();
 
+    /// Passes changes of the store on to the instances of this region, if this instance is a relay.
+    void relayBatch(const store_batch& batch);
+
 private:
     void tick();
     void drain();
     void take(const envelope& message);
     void takeNotice(const std::string& body);
     fleet_report ownReport() const;
+    void sendDigest();
+    void takeReport(const envelope& message);
+    void takeDigest(const envelope& message);
+    void forwardNotice(const std::string& body);
     void announceBroken(const std::string& fingerprint, const upstream_id& upstream);
 
     serving_state& m_state;
-    std::function<void()> m_onHeard;
+    hooks m_tell;
+    std::uint64_t m_ticks = 0;
     peer_bus m_bus;
     bounded_ring<envelope> m_ring;
     boost::asio::steady_timer m_timer;
--- a/src/flamingoroute/runtime/fleet_watch.cpp
+++ b/src/flamingoroute/runtime/fleet_watch.cpp
@@ -3,6 +3,7 @@
 #include "flamingoroute/report/event_log.hpp"
 #include "flamingoroute/runtime/fleet_port.hpp"
 #include "flamingoroute/serving/serving_state.hpp"
+#include "flamingoroute/settings/json_document.hpp"
 
 #include <Poco/Random.h>
 
@@ -12,6 +13,13 @@
 
 namespace {
 
+/// How long a watch waits for a change.
+constexpr milliseconds usualPatience { 15000 };
+constexpr milliseconds vouchingPatience { 1500 };
+constexpr microseconds answeredJustNow { 2'500'000 };
+/// After a start, relays that are not heard yet are about to speak.
+constexpr microseconds relayGrace { 2'500'000 };
+
 double nextRandom()
 {
     static Poco::Random source = [] {
@@ -30,85 +38,147 @@
         .with(failure);
 }
 
+store_batch toBatch(const std::string& kind, std::uint64_t after, const object_events& events)
+{
+    store_batch batch { kind, after, events.revision, {} };
+    for (const auto& event : events.events) {
+        relayed_change change { event.isDeleted, event.object.name, event.object.revision, {}, {} };
+        if (!event.object.specification.isNull())
+            change.specification = toJsonText(event.object.specification);
+        if (!event.object.status.isNull())
+            change.status = toJsonText(event.object.status);
+        batch.changes.push_back(std::move(change));
+    }
+    return batch;
+}
+
+Poco::JSON::Object::Ptr objectIn(const std::string& text)
+{
+    return text.empty() ? nullptr : parseJsonObject(text, "relayed").value_or(nullptr);
+}
+
+object_event eventOf(const relayed_change& change)
+{
+    object_event event;
+    event.isDeleted = change.isDeleted;
+    event.object = { change.name, change.revision, objectIn(change.specification), objectIn(change.status) };
+    return event;
+}
+
 } // namespace
 
-fleet_watch::fleet_watch(
-    serving_state& state, watched_store& store, const fleet_port& port, std::function<void()> onSelfUnregistered)
+fleet_watch::fleet_watch(serving_state& state, watched_store& store, const fleet_port& port, hooks tell)
     : m_state(state)
     , m_store(store)
     , m_port(port)
-    , m_onSelfUnregistered(std::move(onSelfUnregistered))
-{
-    m_configuration = makeWatcher(port.configurationKind,
-        { [this](const auto& objects) {
-             std::for_each(objects.begin(), objects.end(), [this](const auto& object) { takeConfiguration(object); });
-         },
-            [this](const object_event& event) {
-                if (!event.isDeleted)
-                    takeConfiguration(event.object);
-            } });
-    m_upstreams = makeWatcher(port.upstreamKind,
-        { [this](const auto& objects) { takeUpstreams(objects); },
-            [this](const object_event& event) {
-                if (event.isDeleted)
-                    m_state.upstreams.remove(upstream_id(event.object.name));
-                else
-                    takeUpstream(event.object, false);
-            } });
-    m_orders = makeWatcher(port.versionOrderKind,
-        { [this](const auto& objects) { takeVersionOrders(objects); },
-            [this](const object_event& event) {
-                if (event.isDeleted)
-                    m_state.versions.noteOrderGone(service_id(event.object.name));
-                else
-                    takeVersionOrder(event.object);
-            } });
-    m_evacuations = makeWatcher(port.evacuationKind,
-        { [this](const auto& objects) {
-             m_evacuated.clear();
-             for (const auto& object : objects)
-                 m_evacuated.insert(failure_domain_id(object.name));
-             applyEvacuations();
-         },
-            [this](const object_event& event) {
-                const failure_domain_id domain(event.object.name);
-                if (event.isDeleted)
-                    m_evacuated.erase(domain);
-                else
-                    m_evacuated.insert(domain);
-                applyEvacuations();
-            } });
-    m_members = makeWatcher(port.memberKind,
-        { [this](const auto& objects) { takeMembers(objects); },
-            [this](const object_event& event) { takeMember(event); } });
+    , m_tell(std::move(tell))
+{
+    const auto add = [this](const std::string& kind, list_handler onList, event_handler onEvent) {
+        m_watchers.emplace_back(kind, makeWatcher(kind, std::move(onList), std::move(onEvent)));
+        return m_watchers.back().second;
+    };
+    add(
+        port.versionOrderKind, [this](const auto& objects) { takeVersionOrders(objects); },
+        [this](const object_event& event) { takeVersionOrderEvent(event); });
+    add(
+        port.evacuationKind, [this](const auto& objects) { takeEvacuations(objects); },
+        [this](const object_event& event) { takeEvacuationEvent(event); });
+    m_configuration = add(
+        port.configurationKind,
+        [this](const auto& objects) {
+            for (const auto& object : objects)
+                takeConfiguration(object);
+        },
+        [this](const object_event& event) {
+            if (!event.isDeleted)
+                takeConfiguration(event.object);
+        });
+    add(
+        port.upstreamKind, [this](const auto& objects) { takeUpstreams(objects); },
+        [this](const object_event& event) { takeUpstreamEvent(event); });
+    add(
+        port.memberKind, [this](const auto& objects) { takeMembers(objects); },
+        [this](const object_event& event) { takeMember(event); });
 }
 
 fleet_watch::~fleet_watch() = default;
 
-std::shared_ptr<object_watcher> fleet_watch::makeWatcher(const std::string& kind, object_watcher::handlers handle)
+std::shared_ptr<object_watcher> fleet_watch::makeWatcher(
+    const std::string& kind, list_handler onList, event_handler onEvent)
 {
+    object_watcher::handlers handle;
+    handle.onList = std::move(onList);
+    handle.onEvent = std::move(onEvent);
+    handle.onBatch = [this, kind](std::uint64_t after, const object_events& events) {
+        m_tell.onBatch(toBatch(kind, after, events));
+    };
+    handle.mayFollow = [this] { return mayFollow(); };
+    handle.relayRevision = [this, kind] { return m_state.members.digests().positionOf(kind, monotonicNow()); };
     return std::make_shared<object_watcher>(m_state.loop, m_store, kind, std::move(handle), nextRandom);
 }
 
+bool fleet_watch::mayFollow() const
+{
+    const auto now = monotonicNow();
+    const bool isStarting = m_state.members.usesRelays() && now - m_startedAt < relayGrace;
+    return !m_state.members.isRelay(now) && (isStarting || m_state.members.digests().hasConnectedRelay(now));
+}
+
 void fleet_watch::start()
 {
-    for (const auto& watcher : { m_orders, m_evacuations, m_configuration, m_upstreams, m_members })
+    m_startedAt = monotonicNow();
+    for (const auto& [kind, watcher] : m_watchers)
         watcher->start();
 }
 
 void fleet_watch::stop()
 {
-    for (const auto& watcher : { m_orders, m_evacuations, m_configuration, m_upstreams, m_members })
+    for (const auto& [kind, watcher] : m_watchers)
         watcher->stop();
 }
 
 bool fleet_watch::isComplete() const
 {
-    return m_state.table && m_upstreams->hasListed() && m_orders->hasListed() && m_evacuations->hasListed()
-        && m_members->hasListed();
+    return m_state.table && std::all_of(m_watchers.begin(), m_watchers.end(), [](const auto& entry) {
+        return entry.second->hasListed();
+    });
+}
+
+bool fleet_watch::isConnected(monotonic_time now) const
+{
+    const bool areAll = std::all_of(
+        m_watchers.begin(), m_watchers.end(), [](const auto& entry) { return entry.second->isConnected(); });
+    return areAll && now - m_configuration->lastAnswerAt() < answeredJustNow;
+}
+
+void fleet_watch::review()
+{
+    // A relay vouches for the store, so it asks for a sign of life in short intervals.
+    const bool isVouching = m_state.members.usesRelays() && m_state.members.isRelay(monotonicNow());
+    m_configuration->setPatience(isVouching ? vouchingPatience : usualPatience);
+    for (const auto& [kind, watcher] : m_watchers)
+        watcher->review();
 }
 
-bool fleet_watch::isConnected() const { return m_configuration->isConnected() && m_upstreams->isConnected(); }
+void fleet_watch::takeBatch(const store_batch& batch)
+{
+    object_events events;
+    events.revision = batch.revision;
+    for (const auto& change : batch.changes)
+        events.events.push_back(eventOf(change));
+    for (const auto& [kind, watcher] : m_watchers) {
+        if (kind == batch.kind)
+            watcher->takeBatch(batch.after, events);
+    }
+}
+
+std::vector<kind_position> fleet_watch::positions() const
+{
+    std::vector<kind_position> result;
+    for (const auto& [kind, watcher] : m_watchers)
+        result.push_back({ kind, watcher->changeRevision() });
+    return result;
+}
 
 void fleet_watch::takeConfiguration(const fleet_object& object)
 {
@@ -160,6 +230,42 @@
     m_state.upstreams.retainOnly(listed);
 }
 
+void fleet_watch::takeUpstreamEvent(const object_event& event)
+{
+    if (!event.isDeleted) {
+        takeUpstream(event.object, false);
+        return;
+    }
+    m_state.upstreams.remove(upstream_id(event.object.name));
+    event_line(log_level::info, "upstream.gone").with("upstream", event.object.name);
+}
+
+void fleet_watch::takeVersionOrderEvent(const object_event& event)
+{
+    if (event.isDeleted)
+        m_state.versions.noteOrderGone(service_id(event.object.name));
+    else
+        takeVersionOrder(event.object);
+}
+
+void fleet_watch::takeEvacuations(const std::vector<fleet_object>& objects)
+{
+    m_evacuated.clear();
+    for (const auto& object : objects)
+        m_evacuated.insert(failure_domain_id(object.name));
+    applyEvacuations();
+}
+
+void fleet_watch::takeEvacuationEvent(const object_event& event)
+{
+    const failure_domain_id domain(event.object.name);
+    if (event.isDeleted)
+        m_evacuated.erase(domain);
+    else
+        m_evacuated.insert(domain);
+    applyEvacuations();
+}
+
 void fleet_watch::takeVersionOrder(const fleet_object& object)
 {
     const auto order = m_port.readVersionOrder(object);
@@ -214,7 +320,7 @@
     }
     m_state.members.replaceRegistered(all, monotonicNow());
     if (!isSelfThere)
-        m_onSelfUnregistered();
+        m_tell.onSelfUnregistered();
 }
 
 void fleet_watch::takeMember(const object_event& event)
@@ -223,7 +329,7 @@
     if (event.isDeleted) {
         m_state.members.noteUnregistered(name);
         if (name == m_state.settings.instance)
-            m_onSelfUnregistered();
+            m_tell.onSelfUnregistered();
         return;
     }
     const auto read = m_port.readMember(event.object);
--- a/src/flamingoroute/runtime/serving_node.cpp
+++ b/src/flamingoroute/runtime/serving_node.cpp
@@ -50,8 +50,11 @@
     , m_port(std::move(port))
     , m_store(store)
     , m_state(loop, settings, m_port.headers, selfOf(settings))
-    , m_watch(m_state, store, m_port, [this] { registerSelf(); })
-    , m_gossip(m_state, [this] { onHeard(); })
+    , m_watch(m_state, store, m_port,
+          { [this] { registerSelf(); }, [this](const store_batch& batch) { m_gossip.relayBatch(batch); } })
+    , m_gossip(m_state,
+          { [this] { onHeard(); }, [this](region_digest& digest) { describeStore(digest); },
+              [this](const store_batch& batch) { m_watch.takeBatch(batch); } })
     , m_callers(
           loop, [this](auto exchange) { serve(std::move(exchange)); },
           [this] { return m_state.table ? m_state.table->source().limits : caller_limits {}; })
@@ -106,6 +109,7 @@
 
 void serving_node::tick()
 {
+    m_watch.review();
     updateReadiness();
     writeDueOrders();
     forgetLostMembers();
@@ -126,13 +130,16 @@
     m_gossip.report();
 }
 
+void serving_node::describeStore(region_digest& digest) const
+{
+    digest.isStoreConnected = m_watch.isConnected(monotonicNow());
+    digest.positions = m_watch.positions();
+}
+
 void serving_node::onHeard()
 {
     const auto now = monotonicNow();
-    std::vector<version_tally> tallies;
-    for (const auto& report : m_state.members.freshReports(now))
-        tallies.insert(tallies.end(), report.tallies.begin(), report.tallies.end());
-    m_state.versions.judge(tallies, now);
+    m_state.versions.judge(m_state.members.foreignTallies(now), now);
 }
 
 void serving_node::writeDueOrders()
@@ -160,7 +167,8 @@
 {
     const auto now = monotonicNow();
     for (const auto& other : m_state.members.others()) {
-        if (!m_state.members.isLost(other.instance, now) || m_state.members.heardCount(now) < 2)
+        const bool isOurs = m_state.members.isRelay(now) && m_state.members.heardCount(now) > 1;
+        if (!isOurs || !m_state.members.isLost(other.instance, now))
             continue;
         event_line(log_level::info, "member.lost").with("instance", other.instance.value());
         m_state.members.noteUnregistered(other.instance);
--- a/src/flamingoroute/runtime/serving_node.hpp
+++ b/src/flamingoroute/runtime/serving_node.hpp
@@ -27,6 +27,7 @@
 private:
     void registerSelf();
     void onHeard();
+    void describeStore(region_digest& digest) const;
     void tick();
     void updateReadiness();
     void writeDueOrders();
--- a/src/flamingoroute/store/object_watcher.cpp
+++ b/src/flamingoroute/store/object_watcher.cpp
@@ -11,6 +11,8 @@
 constexpr milliseconds firstPause { 100 };
 constexpr milliseconds longestPause { 1000 };
 constexpr int longestPauseFailures = 4;
+/// Most of the history that a store keeps.
+constexpr milliseconds defaultPatience { 15000 };
 
 } // namespace
 
@@ -21,6 +23,7 @@
     , m_handle(std::move(handle))
     , m_random(std::move(random))
     , m_timer(loop)
+    , m_patience(defaultPatience)
 {
 }
 
@@ -34,6 +37,8 @@
 
 void object_watcher::list(const std::string& after)
 {
+    m_isListing = true;
+    m_isFollowing = false;
     if (after.empty())
         m_pages.clear();
     m_store.list(m_kind, after, [self = shared_from_this()](const auto& page) { self->onPage(page); });
@@ -58,15 +63,51 @@
         event_line(log_level::info, "store.listed").with("kind", m_kind).with("revision", m_pagesRevision);
     m_failures = 0;
     m_hasListed = true;
+    m_isListing = false;
     m_revision = m_pagesRevision;
+    m_changeRevision = m_pagesRevision;
+    m_lastAnswerAt = monotonicNow();
     const auto objects = std::exchange(m_pages, {});
     m_handle.onList(objects);
-    watch();
+    goOn();
+}
+
+void object_watcher::goOn()
+{
+    m_isFollowing = m_handle.mayFollow && m_handle.mayFollow();
+    if (!m_isFollowing)
+        watch();
+}
+
+void object_watcher::review()
+{
+    if (!m_isFollowing || m_isStopped)
+        return;
+    const bool isRelayLost = !m_handle.mayFollow();
+    const bool isChangeMissed = m_handle.relayRevision && m_handle.relayRevision() > m_changeRevision;
+    if (isRelayLost || isChangeMissed)
+        list(std::string());
+}
+
+void object_watcher::takeBatch(std::uint64_t after, const object_events& batch)
+{
+    if (m_isStopped || !m_hasListed || batch.revision <= m_revision)
+        return;
+    for (const auto& event : batch.events)
+        m_handle.onEvent(event);
+    if (after > m_revision) {
+        if (m_isFollowing)
+            list(std::string());
+        return;
+    }
+    m_revision = batch.revision;
+    m_changeRevision = batch.revision;
 }
 
 void object_watcher::watch()
 {
-    m_store.watch(m_kind, m_revision, [self = shared_from_this()](const auto& events) { self->onEvents(events); });
+    m_store.watch(
+        m_kind, m_revision, m_patience, [self = shared_from_this()](const auto& events) { self->onEvents(events); });
 }
 
 void object_watcher::onEvents(const tl::expected<object_events, error>& events)
@@ -77,10 +118,18 @@
         onFailure(events.error());
         return;
     }
+    m_failures = 0;
+    m_lastAnswerAt = monotonicNow();
+    const auto after = m_changeRevision;
     m_revision = std::max(m_revision, events->revision);
     for (const auto& event : events->events)
         m_handle.onEvent(event);
-    watch();
+    if (!events->events.empty()) {
+        m_changeRevision = std::max(m_changeRevision, events->revision);
+        if (m_handle.onBatch)
+            m_handle.onBatch(after, *events);
+    }
+    goOn();
 }
 
 void object_watcher::onFailure(const error& failure)
--- a/src/flamingoroute/store/object_watcher.hpp
+++ b/src/flamingoroute/store/object_watcher.hpp
@@ -23,6 +23,13 @@
         std::function<void(const std::vector<fleet_object>&)> onList;
         /// Called for each change, in order.
         std::function<void(const object_event&)> onEvent;
+        /// Called after each watch that returned changes.
+        /// @param after nothing changed between this revision and the first change
+        std::function<void(std::uint64_t after, const object_events&)> onBatch;
+        /// @return whether a relay passes changes on, so that no watch is needed
+        std::function<bool()> mayFollow;
+        /// @return the revision of the last change that the relay knows
+        std::function<std::uint64_t()> relayRevision;
     };
 
     /// @param random a number from 0 to 1, to spread the retries of many instances
@@ -34,6 +41,21 @@
     /// Calls nothing any more.
     void stop();
 
+    /// Looks whether to begin or to stop following the relay, and whether a change was missed.
+    void review();
+
+    /// Takes changes that a relay passed on. After a missed batch the objects are listed anew.
+    void takeBatch(std::uint64_t after, const object_events& batch);
+
+    /// @param patience how long the store may wait before it answers a watch without a change
+    void setPatience(milliseconds patience) { m_patience = patience; }
+
+    /// @return the revision of the last change that is known
+    std::uint64_t changeRevision() const { return m_changeRevision; }
+
+    /// @return when the store last answered
+    monotonic_time lastAnswerAt() const { return m_lastAnswerAt; }
+
     /// @return whether the last call to the store succeeded
     bool isConnected() const { return m_failures == 0 && m_hasListed; }
 
@@ -46,6 +68,7 @@
     void watch();
     void onEvents(const tl::expected<object_events, error>& events);
     void onFailure(const error& failure);
+    void goOn();
 
     watched_store& m_store;
     std::string m_kind;
@@ -55,6 +78,11 @@
     std::vector<fleet_object> m_pages;
     std::uint64_t m_pagesRevision = 0;
     std::uint64_t m_revision = 0;
+    std::uint64_t m_changeRevision = 0;
+    milliseconds m_patience;
+    monotonic_time m_lastAnswerAt;
+    bool m_isFollowing = false;
+    bool m_isListing = false;
     int m_failures = 0;
     bool m_hasListed = false;
     bool m_isStopped = false;
--- a/src/flamingoroute/store/watched_store.hpp
+++ b/src/flamingoroute/store/watched_store.hpp
@@ -2,6 +2,7 @@
 #define FLAMINGOROUTE_STORE_WATCHED_STORE_HPP
 
 #include "flamingoroute/model/error.hpp"
+#include "flamingoroute/model/monotonic_time.hpp"
 #include "flamingoroute/store/object_event.hpp"
 #include "flamingoroute/store/object_page.hpp"
 
@@ -28,8 +29,9 @@
     /// Lists objects of @p kind, sorted by name, from the one behind @p after on.
     virtual void list(const std::string& kind, const std::string& after, page_callback done) = 0;
 
-    /// Waits for changes after revision @p after; the answer is empty if there were none for a while.
-    virtual void watch(const std::string& kind, std::uint64_t after, events_callback done) = 0;
+    /// Waits for changes after revision @p after.
+    /// @param patience how long the store waits; the answer is empty if there was no change
+    virtual void watch(const std::string& kind, std::uint64_t after, milliseconds patience, events_callback done) = 0;
 
     /// Creates or replaces an object's specification, whatever it holds.
     /// @param specification JSON
--- a/tests/unit/store/object_watcher_test.cpp
+++ b/tests/unit/store/object_watcher_test.cpp
@@ -17,7 +17,7 @@
 class mock_watched_store : public watched_store {
 public:
     MOCK_METHOD(void, list, (const std::string&, const std::string&, page_callback), (override));
-    MOCK_METHOD(void, watch, (const std::string&, std::uint64_t, events_callback), (override));
+    MOCK_METHOD(void, watch, (const std::string&, std::uint64_t, milliseconds, events_callback), (override));
     MOCK_METHOD(void, put, (const std::string&, const std::string&, const std::string&, write_callback), (override));
     MOCK_METHOD(void, putStatus,
         (const std::string&, const std::string&, const std::string&, std::uint64_t, write_callback), (override));
@@ -40,7 +40,7 @@
             listedAfter.push_back(after);
             onPage = std::move(done);
         });
-        ON_CALL(store, watch(_, _, _)).WillByDefault([this](const auto&, auto after, auto done) {
+        ON_CALL(store, watch(_, _, _, _)).WillByDefault([this](const auto&, auto after, milliseconds, auto done) {
             watchedAfter.push_back(after);
             onEvents = std::move(done);
         });
