--- /dev/null
+++ b/tests/unit/fleet/relayed_fleet_test.cpp
@@ -0,0 +1,210 @@
+#include "flamingoroute/fleet/fleet_members.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <memory>
+
+namespace flamingoroute {
+
+namespace {
+
+/// Instances in three regions that report through relays, on a clock that a test turns. Messages arrive at once.
+class relayed_fleet {
+public:
+    explicit relayed_fleet(std::size_t size)
+    {
+        for (std::size_t i = 0; i < size; ++i)
+            m_where.push_back(memberNumber(i));
+        for (const auto& self : m_where) {
+            m_nodes.push_back(std::make_unique<fleet_members>(self));
+            m_nodes.back()->setSelfReady(true);
+            for (const auto& other : m_where)
+                m_nodes.back()->noteRegistered(other, m_now);
+        }
+        m_isUp.assign(size, true);
+    }
+
+    void setUp(std::size_t which, bool isUp) { m_isUp[which] = isUp; }
+
+    void setDemand(std::size_t which, float perSecond, std::uint32_t admitted)
+    {
+        m_demand.resize(m_nodes.size());
+        m_demand[which] = { "ronda", perSecond, admitted };
+    }
+
+    void play(int ms)
+    {
+        for (int passed = 0; passed < ms; passed += 500) {
+            m_now += milliseconds(500);
+            ++m_ticks;
+            for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+                if (m_isUp[i])
+                    report(i);
+            }
+            for (std::size_t i = 0; m_ticks % 2 == 0 && i < m_nodes.size(); ++i) {
+                if (m_isUp[i] && m_nodes[i]->isRelay(m_now))
+                    sendDigest(i);
+            }
+        }
+    }
+
+    std::vector<std::size_t> relaysIn(const std::string& region) const
+    {
+        std::vector<std::size_t> result;
+        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+            if (m_isUp[i] && m_where[i].region.value() == region && m_nodes[i]->isRelay(m_now))
+                result.push_back(i);
+        }
+        return result;
+    }
+
+    fleet_members& node(std::size_t which) { return *m_nodes[which]; }
+    monotonic_time now() const { return m_now; }
+    std::uint64_t messages() const { return m_messages; }
+
+private:
+    static member memberNumber(std::size_t number)
+    {
+        member result;
+        result.instance = instance_id("entry-" + std::to_string(100 + number));
+        result.region = region_id("region-" + std::to_string(number % 3));
+        result.failureDomain = failure_domain_id("domain-" + std::to_string(number % 6));
+        result.callerAddress = { "10.0.0." + std::to_string(number + 1), 80 };
+        result.entryAddress = { "10.0.0." + std::to_string(number + 1), 7560 };
+        return result;
+    }
+
+    std::size_t numberAt(const endpoint& address) const
+    {
+        const auto found = std::find_if(
+            m_where.begin(), m_where.end(), [&](const member& one) { return one.entryAddress == address; });
+        return static_cast<std::size_t>(found - m_where.begin());
+    }
+
+    template <typename Deliver> void deliver(const endpoint& to, Deliver take)
+    {
+        ++m_messages;
+        const auto which = numberAt(to);
+        if (m_isUp[which])
+            take(*m_nodes[which]);
+    }
+
+    void report(std::size_t which)
+    {
+        fleet_report own;
+        own.instance = m_where[which].instance.value();
+        own.failureDomain = m_where[which].failureDomain.value();
+        own.region = m_where[which].region.value();
+        own.callerAddress = toString(m_where[which].callerAddress);
+        own.peerAddress = toString(m_where[which].entryAddress);
+        own.isReady = true;
+        own.isSettled = true;
+        if (which < m_demand.size() && !m_demand[which].customer.empty())
+            own.demand = { m_demand[which] };
+        m_nodes[which]->noteOwnReport(own);
+        for (const auto& relay : m_nodes[which]->relays(m_now))
+            deliver(relay.entryAddress, [&](fleet_members& node) { node.noteReport(own, m_now); });
+    }
+
+    void sendDigest(std::size_t which)
+    {
+        auto& node = *m_nodes[which];
+        region_digest digest;
+        digest.sender = m_where[which].instance.value();
+        digest.senderAddress = toString(m_where[which].entryAddress);
+        digest.sum = node.sumOfRegion(m_now);
+        for (const auto& relay : node.foreignRelays(m_now))
+            deliver(relay, [&](fleet_members& other) { other.noteDigest(digest, m_now); });
+        digest.members = node.sights(m_now);
+        digest.isStoreConnected = true;
+        for (const auto& sum : node.digests().freshSums(m_now)) {
+            if (sum.region != digest.sum.region)
+                digest.others.push_back(sum);
+        }
+        node.noteDigest(digest, m_now);
+        for (const auto& other : node.regionOthers())
+            deliver(other.entryAddress, [&](fleet_members& one) { one.noteDigest(digest, m_now); });
+    }
+
+    std::vector<member> m_where;
+    std::vector<std::unique_ptr<fleet_members>> m_nodes;
+    std::vector<bool> m_isUp;
+    std::vector<customer_demand> m_demand;
+    monotonic_time m_now { seconds(100) };
+    std::uint64_t m_ticks = 0;
+    std::uint64_t m_messages = 0;
+};
+
+const customer_id customer("ronda");
+
+} // namespace
+
+TEST(relayed_fleet, adds_up_what_all_instances_report)
+{
+    relayed_fleet fleet(30);
+    for (std::size_t i = 0; i < 30; ++i)
+        fleet.setDemand(i, 2, 10);
+    fleet.play(6000);
+    for (const std::size_t which : { 0U, 7U, 29U }) {
+        const auto view = fleet.node(which).demandFor(customer, fleet.now());
+        EXPECT_EQ(view.members, 30U);
+        EXPECT_EQ(view.heard, 30U);
+        EXPECT_EQ(view.settled, 29U);
+        EXPECT_NEAR(view.ofHeard, 60, 0.1);
+        EXPECT_GE(view.othersAdmitted, 290);
+        EXPECT_LE(view.othersAdmitted, 290 + 60 * 3);
+    }
+}
+
+TEST(relayed_fleet, has_two_relays_in_a_region_and_replaces_those_that_die)
+{
+    relayed_fleet fleet(30);
+    fleet.play(3000);
+    const auto before = fleet.relaysIn("region-0");
+    ASSERT_EQ(before.size(), 2U);
+    for (const auto which : before)
+        fleet.setUp(which, false);
+    fleet.play(10'000);
+    const auto after = fleet.relaysIn("region-0");
+    ASSERT_EQ(after.size(), 2U);
+    const std::size_t other = after.front() == 0 ? 3 : 0;
+    EXPECT_TRUE(fleet.node(other).digests().hasConnectedRelay(fleet.now()));
+}
+
+TEST(relayed_fleet, stops_naming_an_instance_that_died_although_two_relays_had_heard_it)
+{
+    relayed_fleet fleet(30);
+    fleet.play(5000);
+    const auto relays = fleet.relaysIn("region-0");
+    std::size_t victim = 0;
+    while (std::find(relays.begin(), relays.end(), victim) != relays.end())
+        victim += 3;
+    const auto dead = fleet.node(victim).self();
+    fleet.setUp(victim, false);
+    fleet.play(7000);
+    for (std::size_t i = 0; i < 30; i += 3) {
+        if (i == victim)
+            continue;
+        for (const auto& named : fleet.node(i).readyNear(dead.failureDomain, dead.region, fleet.now()))
+            EXPECT_NE(named.instance, dead.instance);
+    }
+}
+
+TEST(relayed_fleet, sends_far_fewer_messages_than_each_to_each)
+{
+    relayed_fleet fleet(84);
+    fleet.play(10'000);
+    const std::uint64_t eachToEach = 84 * 83 * 20;
+    EXPECT_LT(fleet.messages(), eachToEach / 20);
+}
+
+TEST(relayed_fleet, deletes_no_registration_of_another_region_that_it_cannot_hear)
+{
+    relayed_fleet fleet(30);
+    fleet.play(60'000);
+    for (const auto& other : fleet.node(0).others())
+        EXPECT_FALSE(fleet.node(0).isLost(other.instance, fleet.now())) << other.instance.value();
+}
+
+} // namespace flamingoroute
--- a/tests/unit/store/object_watcher_test.cpp
+++ b/tests/unit/store/object_watcher_test.cpp
@@ -52,6 +52,9 @@
                 names.push_back(object.name);
         };
         handle.onEvent = [this](const object_event& event) { names.push_back(event.object.name); };
+        handle.onBatch = [this](std::uint64_t after, const object_events&) { batchesAfter.push_back(after); };
+        handle.mayFollow = [this] { return isRelayThere; };
+        handle.relayRevision = [this] { return relayRevision; };
         watcher = std::make_shared<object_watcher>(loop, store, "servers", handle, [] { return 0.0; });
         watcher->start();
     }
@@ -70,6 +73,9 @@
     std::vector<std::string> listedAfter;
     std::vector<std::uint64_t> watchedAfter;
     std::vector<std::string> names;
+    std::vector<std::uint64_t> batchesAfter;
+    bool isRelayThere = false;
+    std::uint64_t relayRevision = 0;
     int lists = 0;
 };
 
@@ -118,6 +124,71 @@
     }
 }
 
+TEST(object_watcher, names_for_each_batch_the_revision_that_it_follows_on)
+{
+    watching_fixture fixture;
+    fixture.onPage(object_page { {}, false, 10 });
+    fixture.onEvents(object_events { {}, 15 });
+    fixture.onEvents(object_events { { { false, objectNamed("a") } }, 20 });
+    fixture.onEvents(object_events { { { false, objectNamed("b") } }, 25 });
+    EXPECT_EQ(fixture.batchesAfter, (std::vector<std::uint64_t> { 10, 20 }));
+}
+
+TEST(object_watcher, follows_a_relay_without_calls_of_its_own)
+{
+    watching_fixture fixture;
+    fixture.isRelayThere = true;
+    fixture.onPage(object_page { { objectNamed("a") }, false, 20 });
+    fixture.relayRevision = 20;
+    fixture.watcher->review();
+    fixture.watcher->takeBatch(10, object_events { { { false, objectNamed("b") } }, 25 });
+    fixture.relayRevision = 25;
+    fixture.watcher->review();
+    EXPECT_EQ(fixture.names, (std::vector<std::string> { "a", "b" }));
+    EXPECT_TRUE(fixture.watchedAfter.empty());
+    EXPECT_EQ(fixture.listedAfter.size(), 1U);
+}
+
+TEST(object_watcher, takes_a_batch_once_that_two_relays_pass_on)
+{
+    watching_fixture fixture;
+    fixture.isRelayThere = true;
+    fixture.onPage(object_page { {}, false, 20 });
+    const object_events batch { { { false, objectNamed("b") } }, 25 };
+    fixture.watcher->takeBatch(20, batch);
+    fixture.watcher->takeBatch(20, batch);
+    EXPECT_EQ(fixture.names, (std::vector<std::string> { "b" }));
+}
+
+TEST(object_watcher, lists_anew_after_a_batch_that_it_missed)
+{
+    watching_fixture byGap;
+    byGap.isRelayThere = true;
+    byGap.onPage(object_page { {}, false, 20 });
+    byGap.watcher->takeBatch(25, object_events { { { false, objectNamed("c") } }, 30 });
+    EXPECT_EQ(byGap.listedAfter.size(), 2U);
+    EXPECT_EQ(byGap.names, (std::vector<std::string> { "c" }));
+
+    watching_fixture byRevision;
+    byRevision.isRelayThere = true;
+    byRevision.onPage(object_page { {}, false, 20 });
+    byRevision.relayRevision = 25;
+    byRevision.watcher->review();
+    EXPECT_EQ(byRevision.listedAfter.size(), 2U);
+}
+
+TEST(object_watcher, reads_for_itself_when_no_relay_is_heard_any_more)
+{
+    watching_fixture fixture;
+    fixture.isRelayThere = true;
+    fixture.onPage(object_page { {}, false, 20 });
+    fixture.isRelayThere = false;
+    fixture.watcher->review();
+    ASSERT_EQ(fixture.listedAfter.size(), 2U);
+    fixture.onPage(object_page { {}, false, 40 });
+    EXPECT_EQ(fixture.watchedAfter, (std::vector<std::uint64_t> { 40 }));
+}
+
 TEST(object_watcher, says_nothing_after_it_was_stopped)
 {
     watching_fixture fixture;
