Answer 400 to a request without Host on the product's own entry

Not mended: a 400 that POCO's server gives before any handler runs (header too large, not HTTP) lacks Flamingo-Execution; its connection class has no hook for it. The platform's node reads requests itself and is not concerned.

--- a/src/flamingoroute/runtime/caller_request_reader.cpp
+++ b/src/flamingoroute/runtime/caller_request_reader.cpp
@@ -118,6 +118,9 @@
 {
     caller_request read;
     read.arrivedAt = monotonicNow();
+    const bool needsHost = request.getVersion() == Poco::Net::HTTPMessage::HTTP_1_1;
+    if (needsHost && request.get("Host", "").empty())
+        return tl::unexpected(request_problem { Poco::Net::HTTPResponse::HTTP_BAD_REQUEST, "no Host header" });
     const auto checked = checkSizes(request).and_then([&] { return readBody(request, options, read.body); });
     if (!checked)
         return tl::unexpected(checked.error());
