Learn from attempts that run into their time limit, and forget what was learned after some seconds

Ruled out: the queue (loads low), paths (other upstreams of the same failure domains were fine). Change: a timed-out attempt counts as failed and slow against the most a sound upstream would take; what was learned is halved in 2.5 s without attempts; an upstream that sheds with free slots counts as faulty.

--- a/src/flamingoroute/placement/attempt_report.hpp
+++ b/src/flamingoroute/placement/attempt_report.hpp
@@ -23,7 +23,8 @@
     broken, ///< no whole answer
     unreachable, ///< no connection
     misdirected, ///< the address belongs to another upstream now
-    abandoned, ///< given up by the caller or at the deadline; says little of the upstream
+    timed_out, ///< no answer by the time limit
+    abandoned, ///< given up by the caller before it was overdue; says little of the upstream
 };
 
 /// What one attempt showed of its upstream.
--- a/src/flamingoroute/placement/placement.cpp
+++ b/src/flamingoroute/placement/placement.cpp
@@ -12,9 +12,10 @@
 
 /// Candidates looked at in an object's order; further ones would be cold for it anyway.
 constexpr std::size_t candidatesWeighed = 4;
-/// A failed attempt costs about one more attempt and the time to notice.
+/// A failed attempt costs its answer, or one more attempt: about this many times the objective.
 constexpr double failureCost = 2.0;
 constexpr double leastWeight = 1e-6;
+constexpr double leastSlowness = 0.1;
 
 /// @return the exponential variate of weighted rendezvous hashing; the least one is preferred
 double rendezvousScore(std::uint64_t objectHash, const placement_candidate& candidate)
@@ -28,6 +29,7 @@
 struct weighed_candidate {
     microseconds wait { 0 };
     microseconds expected { 0 };
+    microseconds baseline { 0 };
     double cost = 0;
 };
 
@@ -42,7 +44,10 @@
     weighed_candidate result;
     result.wait = microseconds(static_cast<std::int64_t>(wait));
     result.expected = candidate.pathDelay + result.wait + microseconds(static_cast<std::int64_t>(workPerSlot));
-    result.cost = static_cast<double>(result.expected.count()) * (1 + failureCost * candidate.failureShare);
+    const auto soundWait = microseconds(static_cast<std::int64_t>(wait / std::max(leastSlowness, candidate.slowness)));
+    result.baseline = candidate.pathDelay + soundWait + (candidate.isWarm ? request.warmTime : request.coldTime);
+    const double objective = static_cast<double>(std::max<std::int64_t>(0, request.objective.count()));
+    result.cost = static_cast<double>(result.expected.count()) + failureCost * candidate.failureShare * objective;
     return result;
 }
 
@@ -76,6 +81,7 @@
         bestCost = weighed.cost;
         choice.expected = weighed.expected;
         choice.wait = weighed.wait;
+        choice.baseline = weighed.baseline;
     }
     const auto allowedWait
         = microseconds(static_cast<std::int64_t>(request.patience * static_cast<double>(request.objective.count())));
--- a/src/flamingoroute/placement/upstream_directory.cpp
+++ b/src/flamingoroute/placement/upstream_directory.cpp
@@ -15,7 +15,9 @@
 /// A single cut connection may be the path's fault.
 constexpr int failuresBeforeAvoidance = 2;
 /// Weight of the newest attempt in the moving averages.
-constexpr double newestWeight = 0.1;
+constexpr double newestWeight = 0.2;
+/// Without new attempts, what was learned of an upstream is halved in this time.
+constexpr microseconds memoryHalfLife { 2'500'000 };
 constexpr double leastSlowness = 0.5;
 constexpr double mostSlowness = 20;
 
@@ -28,7 +30,20 @@
 bool isFailure(attempt_verdict verdict)
 {
     return verdict == attempt_verdict::failed || verdict == attempt_verdict::broken
-        || verdict == attempt_verdict::unreachable;
+        || verdict == attempt_verdict::unreachable || verdict == attempt_verdict::timed_out;
+}
+
+/// An upstream that sheds while it has free slots is not full but faulty.
+bool isGroundlessShed(const attempt_report& report)
+{
+    return report.verdict == attempt_verdict::shed && report.load && report.load->waiting == 0
+        && report.load->running < report.load->slots;
+}
+
+double keptSince(monotonic_time then, monotonic_time now, microseconds halfLife)
+{
+    const double age = static_cast<double>(std::max<std::int64_t>(0, (now - then).count()));
+    return std::exp2(-age / static_cast<double>(halfLife.count()));
 }
 
 void learnLoad(upstream_state& upstream, const reported_load& load, monotonic_time now)
@@ -37,10 +52,13 @@
     upstream.loadAt = now;
 }
 
-void learnHealth(upstream_state& upstream, const attempt_report& report)
+void learnHealth(upstream_state& upstream, const attempt_report& report, monotonic_time now)
 {
-    const double failed = isFailure(report.verdict) ? 1 : 0;
+    const double failed = isFailure(report.verdict) || isGroundlessShed(report) ? 1 : 0;
+    upstream.failureShare = currentFailureShare(upstream, now);
     upstream.failureShare += newestWeight * (failed - upstream.failureShare);
+    upstream.slowness = currentSlowness(upstream, now);
+    upstream.learnedAt = now;
     if (report.timeRatio > 0) {
         const double ratio = std::clamp(report.timeRatio, leastSlowness, mostSlowness);
         upstream.slowness += newestWeight * (ratio - upstream.slowness);
@@ -51,9 +69,17 @@
 
 double estimatedLoad(const upstream_state& upstream, monotonic_time now)
 {
-    const double age = static_cast<double>((now - upstream.loadAt).count());
-    const double kept = std::exp2(-std::max(0.0, age) / static_cast<double>(loadHalfLife.count()));
-    return upstream.inFlight + upstream.othersLoad * kept;
+    return upstream.inFlight + upstream.othersLoad * keptSince(upstream.loadAt, now, loadHalfLife);
+}
+
+double currentSlowness(const upstream_state& upstream, monotonic_time now)
+{
+    return 1 + (upstream.slowness - 1) * keptSince(upstream.learnedAt, now, memoryHalfLife);
+}
+
+double currentFailureShare(const upstream_state& upstream, monotonic_time now)
+{
+    return upstream.failureShare * keptSince(upstream.learnedAt, now, memoryHalfLife);
 }
 
 upstream_directory::upstream_directory(std::map<failure_domain_id, region_id> regions)
@@ -127,12 +153,14 @@
     upstream.inFlight = std::max(0, upstream.inFlight - 1);
     if (report.verdict == attempt_verdict::abandoned)
         return;
-    learnHealth(upstream, report);
+    learnHealth(upstream, report, now);
     if (report.coldFor)
         upstream.coldUntil = now + microseconds(*report.coldFor);
     if (report.load)
         learnLoad(upstream, *report.load, now);
     upstream.isGone = upstream.isGone || report.verdict == attempt_verdict::misdirected;
+    if (report.verdict == attempt_verdict::timed_out)
+        return;
     const bool isSilent = report.verdict == attempt_verdict::broken || report.verdict == attempt_verdict::unreachable;
     if (!isSilent) {
         upstream.failuresInRow = 0;
--- a/src/flamingoroute/placement/upstream_directory.hpp
+++ b/src/flamingoroute/placement/upstream_directory.hpp
@@ -52,6 +52,12 @@
     std::set<failure_domain_id> m_evacuated;
 };
 
+/// @return how slow the upstream was lately, 1 if as expected; forgotten after some seconds, so that it is tried again
+double currentSlowness(const upstream_state& upstream, monotonic_time now);
+
+/// @return its part of failed attempts lately, forgotten in the same way
+double currentFailureShare(const upstream_state& upstream, monotonic_time now);
+
 /// @return requests that @p upstream holds, running or waiting, as far as is known
 double estimatedLoad(const upstream_state& upstream, monotonic_time now);
 
--- a/src/flamingoroute/placement/upstream_state.hpp
+++ b/src/flamingoroute/placement/upstream_state.hpp
@@ -16,8 +16,9 @@
     monotonic_time coldUntil;
     monotonic_time avoidUntil; ///< gets nothing before, after failures
     int failuresInRow = 0; ///< attempts without a whole answer
-    double failureShare = 0; ///< lately failed attempts, weighted towards the newest
-    double slowness = 1; ///< its time per request against the others'
+    double failureShare = 0; ///< failed attempts as of learnedAt, weighted towards the newest
+    double slowness = 1; ///< its time per request against what was expected, as of learnedAt
+    monotonic_time learnedAt;
     monotonic_time lastAnswerAt;
     bool isGone = false; ///< its address answers for another upstream, or it says that it leaves
 
--- a/src/flamingoroute/serving/request_flow.cpp
+++ b/src/flamingoroute/serving/request_flow.cpp
@@ -265,6 +265,14 @@
         [self = shared_from_this()](const exchange_result& result) { self->onResult(result); });
 }
 
+double request_flow::timeRatio() const
+{
+    const auto elapsed = static_cast<double>((monotonicNow() - m_sentAt).count());
+    const double ratio = elapsed / static_cast<double>(std::max<std::int64_t>(1, m_chosen.baseline.count()));
+    // An upstream that was fast without being known to have the object at hand just had it.
+    return m_chosen.isKnownWarm ? ratio : std::max(1.0, ratio);
+}
+
 attempt_report request_flow::reportOf(const exchange_result& result, const upstream_answer& meaning) const
 {
     attempt_report report;
@@ -273,9 +281,8 @@
         return report;
     report.load = loadIn(result.answer, m_state.headers);
     report.coldFor = coldIn(result.answer, m_state.headers);
-    const auto expected = std::max<std::int64_t>(1, m_chosen.expected.count());
     if (meaning.verdict == attempt_verdict::served)
-        report.timeRatio = static_cast<double>((monotonicNow() - m_sentAt).count()) / static_cast<double>(expected);
+        report.timeRatio = timeRatio();
     return report;
 }
 
@@ -415,12 +422,18 @@
     m_connection->abandon();
     attempt_report report;
     report.verdict = verdict;
+    // It would have taken longer still, but how much is not known.
+    const double ratio = timeRatio();
+    if (ratio > 1) {
+        report.verdict = verdict == attempt_verdict::abandoned ? attempt_verdict::timed_out : verdict;
+        report.timeRatio = ratio;
+    }
     endAttempt(report);
 }
 
 void request_flow::onTimeLimit()
 {
-    abandonAttempt(attempt_verdict::abandoned);
+    abandonAttempt(attempt_verdict::timed_out);
     if (m_failureAnswer)
         finish(*m_failureAnswer, "upstream_failure");
     else if (m_mayHaveRun)
--- a/src/flamingoroute/serving/request_flow.hpp
+++ b/src/flamingoroute/serving/request_flow.hpp
@@ -51,6 +51,7 @@
     http_request outgoing(const listed_upstream& upstream) const;
     void onResult(const exchange_result& result);
     attempt_report reportOf(const exchange_result& result, const upstream_answer& meaning) const;
+    double timeRatio() const;
     void learn(const exchange_result& result, const upstream_answer& meaning);
     bool mayRetry(const upstream_answer& meaning);
     void giveUp(const upstream_answer& meaning);
--- a/src/flamingoroute/serving/upstream_selector.cpp
+++ b/src/flamingoroute/serving/upstream_selector.cpp
@@ -98,8 +98,8 @@
         candidate.slots = upstream->listed.slots;
         candidate.weight = shares.at(upstream->region) * upstream->listed.slots / rooms.at(upstream->region).slots;
         candidate.load = estimatedLoad(*upstream, now);
-        candidate.slowness = upstream->slowness * (now < upstream->coldUntil ? coldSlowness : 1);
-        candidate.failureShare = upstream->failureShare;
+        candidate.slowness = currentSlowness(*upstream, now) * (now < upstream->coldUntil ? coldSlowness : 1);
+        candidate.failureShare = currentFailureShare(*upstream, now);
         candidate.pathDelay = m_state.paths.to(upstream->region);
         candidate.isWarm = m_state.objects.knows(upstream->listed.name, query.objectHash, now);
         candidates.push_back(candidate);
@@ -126,6 +126,7 @@
     const auto choice = choosePlacement(request, candidates);
     result.expected = choice.expected;
     result.wait = choice.wait;
+    result.baseline = choice.baseline;
     result.reason = choice.index ? selection_reason::chosen : selection_reason::no_room;
     if (!choice.index)
         return result;
--- a/src/flamingoroute/serving/upstream_selector.hpp
+++ b/src/flamingoroute/serving/upstream_selector.hpp
@@ -42,6 +42,7 @@
     upstream_id upstream;
     microseconds expected { 0 };
     microseconds wait { 0 };
+    microseconds baseline { 0 }; ///< the most that a sound upstream would take
     bool isKnownWarm = false;
     bool isCold = false; ///< the upstream itself, for want of requests since its start
 };
--- a/tests/unit/placement/upstream_directory_test.cpp
+++ b/tests/unit/placement/upstream_directory_test.cpp
@@ -97,6 +97,34 @@
     EXPECT_LT(estimatedLoad(*directory.find(name), at(2000)), 1.5);
 }
 
+TEST(upstream_directory, learns_from_attempts_that_ran_into_the_time_limit_and_forgets_after_some_seconds)
+{
+    auto directory = directoryWithOne();
+    auto report = reportOf(attempt_verdict::timed_out);
+    report.timeRatio = 10;
+    for (int i = 0; i < 5; ++i) {
+        directory.noteSent(name);
+        directory.noteEnded(name, report, coldTime, at(10 + i));
+    }
+    EXPECT_GT(currentSlowness(*directory.find(name), at(20)), 5);
+    EXPECT_GT(currentFailureShare(*directory.find(name), at(20)), 0.6);
+    EXPECT_LT(currentSlowness(*directory.find(name), at(15'000)), 1.3);
+    EXPECT_LT(currentFailureShare(*directory.find(name), at(15'000)), 0.05);
+}
+
+TEST(upstream_directory, takes_an_upstream_for_faulty_that_sheds_with_free_slots_and_not_one_that_is_full)
+{
+    auto report = reportOf(attempt_verdict::shed);
+    report.load = reported_load { 6, 18, 6 };
+    auto full = directoryWithOne();
+    full.noteEnded(name, report, coldTime, at(10));
+    EXPECT_DOUBLE_EQ(currentFailureShare(*full.find(name), at(10)), 0);
+    report.load = reported_load { 1, 0, 6 };
+    auto faulty = directoryWithOne();
+    faulty.noteEnded(name, report, coldTime, at(10));
+    EXPECT_GT(currentFailureShare(*faulty.find(name), at(10)), 0);
+}
+
 TEST(upstream_directory, lists_the_upstreams_of_a_service_and_forgets_those_that_left_the_list)
 {
     auto directory = directoryWithOne();
