Let a region's part of requests elsewhere move slowly, and move an attempt on only if another upstream can take it

Change: rise and fall of the part between two windows are bounded, a region of few upstreams plans for 0.6 of all slots instead of 0.45; the next upstream is selected before the silent attempt is given up.

--- a/src/flamingoroute/serving/request_flow.cpp
+++ b/src/flamingoroute/serving/request_flow.cpp
@@ -259,6 +259,7 @@
     m_state.upstreams.noteSent(chosen.upstream);
     if (chosen.isCold)
         m_state.cold.take(chosen.upstream, now);
+    m_state.shifts.note(upstream->region != m_state.settings.region, now);
     m_state.objects.note(chosen.upstream, m_query.objectHash, now);
     m_connection = m_state.links.take(m_upstream, m_rule->isIdempotent ? longestIdle : longestIdleForUnrepeatable);
     m_connection->exchange(outgoing(m_upstream), connectTimeout,
@@ -410,16 +411,26 @@
         onTimeLimit();
         return;
     }
-    if (m_rule->isIdempotent && m_attempts < m_rule->maxAttempts && isUpstreamSilent(now)
-        && m_state.retries.takeRetry(m_query.service, m_state.members.size())) {
-        m_mayHaveRun = true;
-        abandonAttempt(attempt_verdict::broken);
-        attempt();
-    }
+    const bool mayMove = m_rule->isIdempotent && m_attempts < m_rule->maxAttempts && !m_state.isLeaving;
+    if (mayMove && isUpstreamSilent(now))
+        moveOn();
     if (!m_isDone)
         armTimer();
 }
 
+void request_flow::moveOn()
+{
+    const auto now = monotonicNow();
+    m_query.objective = m_exchange->arrivedAt + microseconds(m_rule->objective) - now;
+    m_query.timeLeft = m_limit - now;
+    const auto next = upstream_selector(m_state).select(m_query, now);
+    // The silent upstream may still answer; without another one it is waited for.
+    if (next.reason != selection_reason::chosen || !m_state.retries.takeRetry(m_query.service, m_state.members.size()))
+        return;
+    abandonAttempt(attempt_verdict::broken);
+    send(next);
+}
+
 void request_flow::abandonAttempt(attempt_verdict verdict)
 {
     if (!m_connection)
--- a/src/flamingoroute/serving/request_flow.hpp
+++ b/src/flamingoroute/serving/request_flow.hpp
@@ -62,6 +62,7 @@
 
     void armTimer();
     void onTimer();
+    void moveOn();
     bool isUpstreamSilent(monotonic_time now) const;
     void onTimeLimit();
     void onGone();
--- a/src/flamingoroute/serving/serving_state.hpp
+++ b/src/flamingoroute/serving/serving_state.hpp
@@ -6,6 +6,7 @@
 #include "flamingoroute/fleet/retry_split.hpp"
 #include "flamingoroute/moves/version_gate.hpp"
 #include "flamingoroute/placement/cold_gate.hpp"
+#include "flamingoroute/placement/shift_limiter.hpp"
 #include "flamingoroute/placement/upstream_directory.hpp"
 #include "flamingoroute/proxy/header_names.hpp"
 #include "flamingoroute/requests/quarantine_table.hpp"
@@ -56,6 +57,7 @@
     rate_split rates;
     retry_split retries;
     cold_gate cold;
+    shift_limiter shifts;
     quarantine_table quarantine;
     service_times times;
     object_memory objects;
--- a/src/flamingoroute/serving/upstream_selector.cpp
+++ b/src/flamingoroute/serving/upstream_selector.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 /// With objects at hand, the work of a well used service fills about this part of all slots.
-constexpr double expectedLoad = 0.45;
+constexpr double expectedLoad = 0.6;
 constexpr double coldSlowness = 2;
 
 std::map<region_id, region_room> roomsOf(
@@ -85,6 +85,23 @@
     return allowed;
 }
 
+void upstream_selector::limitShift(
+    std::vector<const upstream_state*>& upstreams, const selection_query& query, monotonic_time now) const
+{
+    const auto& own = m_state.settings.region;
+    const auto shares = regionShares(roomsOf(upstreams, m_state.settings.regions), own, expectedLoad);
+    const auto kept = shares.find(own);
+    const double planned = kept == shares.end() ? 1 : 1 - kept->second;
+    if (!m_state.shifts.mayLeave(planned, now)) {
+        prefer(upstreams, [&](const upstream_state* upstream) { return upstream->region == own; });
+    } else if (m_state.shifts.shouldLeave(now)) {
+        prefer(upstreams, [&](const upstream_state* upstream) {
+            return upstream->region != own && m_state.objects.knows(upstream->listed.name, query.objectHash, now)
+                && estimatedLoad(*upstream, now) < upstream->listed.slots;
+        });
+    }
+}
+
 std::vector<placement_candidate> upstream_selector::candidatesOf(
     const std::vector<const upstream_state*>& upstreams, const selection_query& query, monotonic_time now) const
 {
@@ -110,9 +127,10 @@
 selection upstream_selector::select(const selection_query& query, monotonic_time now) const
 {
     selection result;
-    const auto allowed = allowedUpstreams(query, now);
+    auto allowed = allowedUpstreams(query, now);
     if (allowed.empty())
         return result;
+    limitShift(allowed, query, now);
     const auto candidates = candidatesOf(allowed, query, now);
     const auto times = m_state.times.of(*query.rule);
     placement_request request;
--- a/src/flamingoroute/serving/upstream_selector.hpp
+++ b/src/flamingoroute/serving/upstream_selector.hpp
@@ -59,6 +59,8 @@
         monotonic_time now) const;
     bool passesColdGate(const upstream_state& upstream, const selection_query& query, monotonic_time now) const;
     std::vector<const upstream_state*> allowedUpstreams(const selection_query& query, monotonic_time now) const;
+    void limitShift(
+        std::vector<const upstream_state*>& upstreams, const selection_query& query, monotonic_time now) const;
     std::vector<placement_candidate> candidatesOf(
         const std::vector<const upstream_state*>& upstreams, const selection_query& query, monotonic_time now) const;
 
