--- a/src/flamingoroute/fleet/digest_book.cpp
+++ b/src/flamingoroute/fleet/digest_book.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// Three digests in a row that did not come.
-constexpr microseconds relayFreshFor { 2'200'000 };
+constexpr microseconds relayFreshFor { 1'700'000 };
 constexpr microseconds sumFreshFor { 4'000'000 };
 
 } // namespace
--- a/src/flamingoroute/fleet/fleet_members.cpp
+++ b/src/flamingoroute/fleet/fleet_members.cpp
@@ -284,12 +284,11 @@
 {
     demand_view view;
     view.members = size();
-    double ownAdmitted = 0;
     for (const auto& demand : m_ownReport.demand) {
         if (demand.customer != customer.value())
             continue;
         view.own = demand.perSecond;
-        ownAdmitted = demand.admitted;
+        view.ownAdmitted = demand.admitted;
     }
     double admitted = 0;
     std::size_t heard = 0;
@@ -305,7 +304,7 @@
     }
     view.heard = std::clamp<std::size_t>(heard, 1, view.members);
     view.ofHeard = std::max(view.ofHeard, view.own);
-    view.othersAdmitted = std::max(0.0, admitted - ownAdmitted);
+    view.othersAdmitted = std::max(0.0, admitted - view.ownAdmitted);
     // The own region's sum counts this instance, which the caller counts by itself.
     view.settled -= view.settled > 0 && m_ownReport.isSettled ? 1 : 0;
     return view;
@@ -318,8 +317,10 @@
     demand_view view;
     view.members = size();
     for (const auto& demand : m_ownReport.demand) {
-        if (demand.customer == customer.value())
-            view.own = demand.perSecond;
+        if (demand.customer != customer.value())
+            continue;
+        view.own = demand.perSecond;
+        view.ownAdmitted = demand.admitted;
     }
     view.ofHeard = view.own;
     for (const auto& [name, entry] : m_others) {
--- a/src/flamingoroute/fleet/fleet_report.hpp
+++ b/src/flamingoroute/fleet/fleet_report.hpp
@@ -21,12 +21,13 @@
     bool isReady = false; ///< takes callers
     bool isLeaving = false;
     bool isSettled = false; ///< has run for a whole rate window, so that its counts are whole
+    bool isUrgent = false; ///< out of turn, because counts have risen
     std::vector<customer_demand> demand;
     std::vector<version_tally> tallies;
 
     bool operator==(const fleet_report&) const = default;
-    MSGPACK_DEFINE(
-        instance, failureDomain, region, callerAddress, peerAddress, isReady, isLeaving, isSettled, demand, tallies)
+    MSGPACK_DEFINE(instance, failureDomain, region, callerAddress, peerAddress, isReady, isLeaving, isSettled, isUrgent,
+        demand, tallies)
 };
 
 } // namespace flamingoroute
--- a/src/flamingoroute/fleet/rate_split.cpp
+++ b/src/flamingoroute/fleet/rate_split.cpp
@@ -17,6 +17,8 @@
 /// Part of what a window may hold up to which requests are admitted on credit. The rest covers what the instances admit
 /// before they hear of each other: at eight times the rate, about three seconds' worth of the rate.
 constexpr double creditPart = 0.6;
+constexpr double risenFactor = 1.3;
+constexpr double risenBy = 5;
 constexpr milliseconds longestWait { 5000 };
 
 double secondsBetween(monotonic_time from, monotonic_time to)
@@ -86,6 +88,13 @@
     return milliseconds(std::clamp<std::int64_t>(std::llround(wait), 1, longestWait.count()));
 }
 
+bool rate_split::hasRisen(const customer_id& customer, double reported, monotonic_time now) const
+{
+    const auto known = m_accounts.find(customer);
+    return known != m_accounts.end()
+        && known->second.admitted.count(now, m_bounds.rateWindow) > reported * risenFactor + risenBy;
+}
+
 rate_usage rate_split::usageIn(const account& held, monotonic_time now) const
 {
     const double age = std::max(0.0, secondsBetween(held.at, now));
--- a/src/flamingoroute/fleet/rate_split.hpp
+++ b/src/flamingoroute/fleet/rate_split.hpp
@@ -16,6 +16,7 @@
     std::size_t heard = 1; ///< of them heard lately, this one included
     std::size_t settled = 0; ///< others heard whose counts are whole
     double own = 0; ///< requests a second at this instance, as it reported them
+    double ownAdmitted = 0; ///< requests in the last window at this instance, as it reported them
     double ofHeard = 0; ///< requests a second at all that were heard, this one included
     double othersAdmitted = 0; ///< requests that the others heard admitted in the last window, as far as is known
 
@@ -53,6 +54,9 @@
     /// @return zero if admitted
     milliseconds admit(const customer_policy& customer, const demand_view& view, monotonic_time now);
 
+    /// @return whether much more of the customer was admitted than @p reported, so that others should hear of it soon
+    bool hasRisen(const customer_id& customer, double reported, monotonic_time now) const;
+
     /// @return whether this instance has counted for a whole window
     bool isSettled(monotonic_time now) const { return now - m_startedAt >= m_bounds.rateWindow; }
 
--- a/src/flamingoroute/runtime/fleet_gossip.cpp
+++ b/src/flamingoroute/runtime/fleet_gossip.cpp
@@ -14,8 +14,7 @@
 
 /// Three lost reports in a row make an instance count as gone, which callers notice within two seconds.
 constexpr milliseconds reportInterval { 500 };
-/// Digests go to many instances.
-constexpr std::uint64_t ticksPerDigest = 2;
+constexpr milliseconds leastDigestGap { 150 };
 /// Reports out of turn.
 constexpr milliseconds leastReportGap { 100 };
 constexpr std::size_t ringCapacity = 1024;
@@ -48,7 +47,7 @@
 {
     const auto now = monotonicNow();
     if (now - m_reportedAt >= leastReportGap)
-        report();
+        report(true);
 }
 
 tl::expected<void, error> fleet_gossip::start()
@@ -75,11 +74,8 @@
 {
     if (m_isStopped)
         return;
-    report();
-    ++m_ticks;
-    const bool isDigestDue = m_state.members.usesRelays() && m_ticks % ticksPerDigest == 0;
-    if (isDigestDue && m_state.members.isRelay(monotonicNow()))
-        sendDigest();
+    report(false);
+    sendDigest(reportInterval / 2);
     m_timer.expires_after(reportInterval);
     m_timer.async_wait([this](const boost::system::error_code& cancelled) {
         if (!cancelled)
@@ -108,10 +104,11 @@
     return report;
 }
 
-void fleet_gossip::report()
+void fleet_gossip::report(bool isUrgent)
 {
     m_reportedAt = monotonicNow();
-    const auto own = ownReport();
+    auto own = ownReport();
+    own.isUrgent = isUrgent;
     m_state.members.noteOwnReport(own);
     const std::string body = packBody(own);
     const auto to = m_state.members.usesRelays() ? m_state.members.relays(monotonicNow()) : m_state.members.others();
@@ -119,9 +116,13 @@
         m_bus.send(other.entryAddress, message_kind::fleet_report, body);
 }
 
-void fleet_gossip::sendDigest()
+void fleet_gossip::sendDigest(milliseconds leastGap)
 {
     const auto now = monotonicNow();
+    const bool isDue = m_state.members.usesRelays() && now - m_digestAt >= leastGap;
+    if (!isDue || !m_state.members.isRelay(now))
+        return;
+    m_digestAt = now;
     region_digest digest;
     digest.sender = m_state.settings.instance.value();
     digest.senderAddress = toString(m_state.settings.peers);
@@ -210,6 +211,8 @@
         return;
     }
     m_state.members.noteReport(*report, monotonicNow());
+    if (report->isUrgent)
+        sendDigest(leastDigestGap);
     m_tell.onHeard();
 }
 
--- a/src/flamingoroute/runtime/fleet_gossip.hpp
+++ b/src/flamingoroute/runtime/fleet_gossip.hpp
@@ -41,7 +41,8 @@
     void stop();
 
     /// Sends a report now, besides the steady ones.
-    void report();
+    /// @param isUrgent whether relays should pass it on at once
+    void report(bool isUrgent);
 
     /// Passes changes of the store on to the instances of this region, if this instance is a relay.
     void relayBatch(const store_batch& batch);
@@ -53,7 +54,8 @@
     void takeNotice(const std::string& body);
     fleet_report ownReport() const;
     void reportSoon();
-    void sendDigest();
+    /// Sends a digest, if this instance is a relay and the last one is at least @p leastGap ago.
+    void sendDigest(milliseconds leastGap);
     void takeReport(const envelope& message);
     void takeDigest(const envelope& message);
     void forwardNotice(const std::string& body);
@@ -62,7 +64,7 @@
     serving_state& m_state;
     hooks m_tell;
     monotonic_time m_reportedAt;
-    std::uint64_t m_ticks = 0;
+    monotonic_time m_digestAt;
     peer_bus m_bus;
     bounded_ring<envelope> m_ring;
     boost::asio::steady_timer m_timer;
--- a/src/flamingoroute/runtime/fleet_watch.cpp
+++ b/src/flamingoroute/runtime/fleet_watch.cpp
@@ -15,8 +15,9 @@
 
 /// How long a watch waits for a change.
 constexpr milliseconds usualPatience { 15000 };
-constexpr milliseconds vouchingPatience { 1500 };
-constexpr microseconds answeredJustNow { 2'500'000 };
+constexpr milliseconds vouchingPatience { 600 };
+/// With the time that a digest takes, less than the shortest bound on a change of the configuration.
+constexpr microseconds answeredJustNow { 1'200'000 };
 /// After a start, relays that are not heard yet are about to speak.
 constexpr microseconds relayGrace { 2'500'000 };
 
--- a/src/flamingoroute/runtime/serving_node.cpp
+++ b/src/flamingoroute/runtime/serving_node.cpp
@@ -127,7 +127,7 @@
         return;
     m_state.members.setSelfReady(isReady);
     event_line(log_level::info, "node.readiness").with("ready", isReady ? 1 : 0);
-    m_gossip.report();
+    m_gossip.report(true);
 }
 
 void serving_node::describeStore(region_digest& digest) const
--- a/src/flamingoroute/serving/request_flow.cpp
+++ b/src/flamingoroute/serving/request_flow.cpp
@@ -183,6 +183,9 @@
     const auto now = monotonicNow();
     const auto view = m_state.members.demandFor(m_customer->name, now);
     const auto wait = m_state.rates.admit(*m_customer, view, now);
+    const bool isLimited = m_customer->ratePerSecond > 0;
+    if (isLimited && m_state.reportSoon && m_state.rates.hasRisen(m_customer->name, view.ownAdmitted, now))
+        m_state.reportSoon();
     if (wait > milliseconds(0))
         refuse(429, "over_rate", wait);
     return wait <= milliseconds(0);
--- a/tests/unit/fleet/rate_split_test.cpp
+++ b/tests/unit/fleet/rate_split_test.cpp
@@ -181,8 +181,8 @@
 TEST(rate_split, parts_of_the_sides_of_a_cut_sum_to_no_more_than_the_whole)
 {
     for (std::size_t heard = 1; heard <= 8; ++heard) {
-        demand_view left { 9, heard, 0, 10, 10.0 * static_cast<double>(heard), 0 };
-        demand_view right { 9, 9 - heard, 0, 10, 10.0 * static_cast<double>(9 - heard), 0 };
+        demand_view left { 9, heard, 0, 10, 0, 10.0 * static_cast<double>(heard), 0 };
+        demand_view right { 9, 9 - heard, 0, 10, 0, 10.0 * static_cast<double>(9 - heard), 0 };
         const double sum
             = rateShare(left) * static_cast<double>(heard) + rateShare(right) * static_cast<double>(9 - heard);
         EXPECT_LE(sum, 1.0 + 1e-9);
