--- a/src/flamingoroute/fleet/fleet_members.cpp
+++ b/src/flamingoroute/fleet/fleet_members.cpp
@@ -280,7 +280,7 @@
     return result;
 }
 
-demand_view fleet_members::demandOfDigests(const customer_id& customer, monotonic_time now) const
+demand_view fleet_members::ownDemand(const customer_id& customer) const
 {
     demand_view view;
     view.members = size();
@@ -290,6 +290,12 @@
         view.own = demand.perSecond;
         view.ownAdmitted = demand.admitted;
     }
+    return view;
+}
+
+demand_view fleet_members::demandOfDigests(const customer_id& customer, monotonic_time now) const
+{
+    auto view = ownDemand(customer);
     double admitted = 0;
     std::size_t heard = 0;
     for (const auto& sum : m_digests.freshSums(now)) {
@@ -314,14 +320,7 @@
 {
     if (usesRelays())
         return demandOfDigests(customer, now);
-    demand_view view;
-    view.members = size();
-    for (const auto& demand : m_ownReport.demand) {
-        if (demand.customer != customer.value())
-            continue;
-        view.own = demand.perSecond;
-        view.ownAdmitted = demand.admitted;
-    }
+    auto view = ownDemand(customer);
     view.ofHeard = view.own;
     for (const auto& [name, entry] : m_others) {
         if (!isFresh(entry, now))
--- a/src/flamingoroute/fleet/fleet_members.hpp
+++ b/src/flamingoroute/fleet/fleet_members.hpp
@@ -106,6 +106,7 @@
     bool isFresh(const other_member& which, monotonic_time now) const;
     bool isReporting(const other_member& which, monotonic_time now) const;
     std::vector<instance_id> relayNames(monotonic_time now) const;
+    demand_view ownDemand(const customer_id& customer) const;
     demand_view demandOfDigests(const customer_id& customer, monotonic_time now) const;
 
     member m_self;
--- /dev/null
+++ b/src/flamingoroute/serving/request_admission.hpp
@@ -0,0 +1,41 @@
+#ifndef FLAMINGOROUTE_SERVING_REQUEST_ADMISSION_HPP
+#define FLAMINGOROUTE_SERVING_REQUEST_ADMISSION_HPP
+
+#include "flamingoroute/serving/admitted_request.hpp"
+#include "flamingoroute/serving/own_refusal.hpp"
+
+#include <optional>
+#include <string>
+
+namespace flamingoroute {
+
+struct caller_exchange;
+struct serving_state;
+
+/// Decides whether a request may run at all: form, rule, key, time, quarantine, rate.
+class request_admission {
+public:
+    explicit request_admission(serving_state& state);
+
+    /// @param admitted filled in as far as the checks came, for the log
+    /// @return nothing if the request may run
+    std::optional<own_refusal> admit(const caller_exchange& exchange, admitted_request& admitted) const;
+
+private:
+    std::optional<own_refusal> checkForm(const caller_exchange& exchange, admitted_request& admitted) const;
+    std::optional<own_refusal> findRule(const caller_exchange& exchange, admitted_request& admitted) const;
+    std::optional<own_refusal> authenticate(const caller_exchange& exchange, admitted_request& admitted) const;
+    std::optional<own_refusal> setTimeLimits(const caller_exchange& exchange, admitted_request& admitted) const;
+    std::optional<own_refusal> checkQuarantine(const caller_exchange& exchange, const admitted_request& admitted) const;
+    std::optional<own_refusal> checkRate(const admitted_request& admitted) const;
+    void describeQuery(const caller_exchange& exchange, admitted_request& admitted) const;
+
+    serving_state& m_state;
+};
+
+/// @return what requests have in common that break upstreams in the same way, wherever they arrive
+std::string fingerprintOf(const caller_exchange& exchange, const admitted_request& admitted);
+
+} // namespace flamingoroute
+
+#endif
--- a/src/flamingoroute/serving/request_flow.hpp
+++ b/src/flamingoroute/serving/request_flow.hpp
@@ -7,8 +7,7 @@
 #include "flamingoroute/placement/attempt_report.hpp"
 #include "flamingoroute/proxy/caller_exchange.hpp"
 #include "flamingoroute/requests/attempt_outcome.hpp"
-#include "flamingoroute/routing/routing_table.hpp"
-#include "flamingoroute/serving/upstream_selector.hpp"
+#include "flamingoroute/serving/admitted_request.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -39,14 +38,6 @@
     void endEarly();
 
 private:
-    bool isWellFormed();
-    bool findRule();
-    bool authenticate();
-    bool setTimeLimits();
-    bool passesQuarantine();
-    bool passesRate();
-    void describeQuery();
-
     void attempt();
     void send(const selection& chosen);
     http_request outgoing(const listed_upstream& upstream) const;
@@ -70,17 +61,10 @@
     void refuse(int status, const std::string& reason, milliseconds retryAfter = milliseconds(0));
     void finish(caller_answer answer, const std::string& decision);
     void log(const std::string& decision, int status) const;
-    std::string fingerprint() const;
 
     serving_state& m_state;
     std::shared_ptr<caller_exchange> m_exchange;
-    routing_table_ptr m_table;
-    const routing_rule* m_rule = nullptr;
-    const customer_policy* m_customer = nullptr;
-    std::string m_requestId;
-    selection_query m_query;
-    monotonic_time m_callerDeadline; ///< the caller waits no longer
-    monotonic_time m_limit; ///< the answer is due: the caller's deadline or the rule's timeout
+    admitted_request m_request;
     boost::asio::steady_timer m_timer;
 
     int m_attempts = 0; ///< upstreams that may have got the request
