--- a/src/flamingoroute/moves/version_gate.cpp
+++ b/src/flamingoroute/moves/version_gate.cpp
@@ -16,8 +16,9 @@
 /// The time between switch and deadline, as parts of an order's time.
 constexpr double leastTrial = 0.03;
 constexpr double mostTrial = 0.2;
-/// Old upstreams stop at the completed state, so it is written as late as the deadline allows.
-constexpr milliseconds completionMargin { 300 };
+/// Old upstreams stop at the completed state, so it is written as late as the deadline allows: operators see it some
+/// hundreds of milliseconds later.
+constexpr milliseconds completionMargin { 600 };
 constexpr milliseconds completionStep { 200 };
 /// An order is known this long after its upstreams at the latest; a version without one is then in use.
 constexpr microseconds orderPatience { 3'000'000 };
