--- a/src/flamingoroute/runtime/serving_node.cpp
+++ b/src/flamingoroute/runtime/serving_node.cpp
@@ -107,6 +107,15 @@
         });
 }
 
+void serving_node::unregister(const instance_id& which)
+{
+    m_store.remove(m_port.memberKind, which.value(), [name = which.value()](const auto& removed) {
+        // Another instance may have been first; whatever is left is deleted once it has been silent for long.
+        if (!removed)
+            event_line(log_level::info, "member.not_unregistered").with("instance", name).with(removed.error());
+    });
+}
+
 void serving_node::tick()
 {
     m_watch.review();
@@ -172,7 +181,7 @@
             continue;
         event_line(log_level::info, "member.lost").with("instance", other.instance.value());
         m_state.members.noteUnregistered(other.instance);
-        m_store.remove(m_port.memberKind, other.instance.value(), [](const auto&) {});
+        unregister(other.instance);
     }
 }
 
@@ -247,7 +256,7 @@
     m_state.isLeaving = true;
     m_leavingSince = monotonicNow();
     updateReadiness();
-    m_store.remove(m_port.memberKind, m_state.settings.instance.value(), [](const auto&) {});
+    unregister(m_state.settings.instance);
     leaveStep();
 }
 
--- a/src/flamingoroute/runtime/serving_node.hpp
+++ b/src/flamingoroute/runtime/serving_node.hpp
@@ -26,6 +26,7 @@
 
 private:
     void registerSelf();
+    void unregister(const instance_id& which);
     void onHeard();
     void describeStore(region_digest& digest) const;
     void tick();
--- a/src/flamingoroute/serving/request_flow.cpp
+++ b/src/flamingoroute/serving/request_flow.cpp
@@ -20,8 +20,9 @@
 /// An unrepeatable request goes on a connection that answered this short a time ago, else on a new one.
 constexpr milliseconds longestIdleForUnrepeatable { 300 };
 constexpr milliseconds longestIdle { 8000 };
-/// An attempt is not worth making with less time than this.
+/// Upstreams tried for one request, those that could not be reached included.
 constexpr int mostTries = 5;
+/// An attempt is not worth making with less time than this.
 constexpr microseconds leastAttemptTime { 20'000 };
 /// An upstream that says nothing at all for this many times the expected time is taken for silent.
 constexpr int silenceFactor = 3;
