End unanswered requests in one place, and delete what nobody calls

Cause: reading the whole change: three places chose between an upstream's failure, an unknown outcome and a refusal; two prepared the next selection; two took a retry, of which one forgot to count it; fleet_members::isHeard, its flag isRegistered and version_gate::orderOf had no caller. No change of behaviour but that attempts moved off a silent upstream now count in flamingo_retries_total.

--- a/src/flamingoroute/fleet/fleet_members.cpp
+++ b/src/flamingoroute/fleet/fleet_members.cpp
@@ -66,7 +66,6 @@
     if (isNew)
         entry->second.knownSince = now;
     entry->second.where = which;
-    entry->second.isRegistered = true;
 }
 
 void fleet_members::noteUnregistered(const instance_id& which) { m_others.erase(which); }
@@ -124,12 +123,6 @@
     return static_cast<std::size_t>(lower);
 }
 
-bool fleet_members::isHeard(const instance_id& which, monotonic_time now) const
-{
-    const auto known = m_others.find(which);
-    return known != m_others.end() && isFresh(known->second, now);
-}
-
 bool fleet_members::isLost(const instance_id& which, monotonic_time now) const
 {
     const auto known = m_others.find(which);
--- a/src/flamingoroute/fleet/fleet_members.hpp
+++ b/src/flamingoroute/fleet/fleet_members.hpp
@@ -46,9 +46,6 @@
     /// @return how many instances heard lately have a lower name than this one
     std::size_t rankAmongHeard(monotonic_time now) const;
 
-    /// @return whether the instance was heard lately
-    bool isHeard(const instance_id& which, monotonic_time now) const;
-
     /// @return whether the instance has been silent for so long that its registration may be deleted
     bool isLost(const instance_id& which, monotonic_time now) const;
 
@@ -100,7 +97,6 @@
         monotonic_time reportedAt = monotonic_time::min(); ///< by its own report
         monotonic_time knownSince;
         bool isSeenReady = false; ///< takes callers, by its own word or a relay's
-        bool isRegistered = false;
     };
 
     bool isFresh(const other_member& which, monotonic_time now) const;
--- a/src/flamingoroute/moves/version_gate.cpp
+++ b/src/flamingoroute/moves/version_gate.cpp
@@ -218,10 +218,4 @@
     return due;
 }
 
-std::optional<version_order> version_gate::orderOf(const service_id& service) const
-{
-    const auto known = m_orders.find(service);
-    return known == m_orders.end() ? std::nullopt : std::optional(known->second.order);
-}
-
 } // namespace flamingoroute
--- a/src/flamingoroute/moves/version_gate.hpp
+++ b/src/flamingoroute/moves/version_gate.hpp
@@ -68,9 +68,6 @@
     /// @return orders whose state in the store should become the returned one
     std::vector<version_order> dueStates(std::size_t rank, monotonic_time now) const;
 
-    /// @return the order for @p service, if any
-    std::optional<version_order> orderOf(const service_id& service) const;
-
 private:
     struct running_order {
         version_order order;
--- a/src/flamingoroute/serving/request_flow.cpp
+++ b/src/flamingoroute/serving/request_flow.cpp
@@ -33,6 +33,8 @@
 /// Of the answers that took one attempt, the log shows one in this many; the same ones on each run.
 constexpr std::uint64_t plainAnswersPerLine = 16;
 
+const own_refusal outcomeUnknown { 502, "upstream_outcome_unknown" };
+
 } // namespace
 
 request_flow::request_flow(serving_state& state, std::shared_ptr<caller_exchange> exchange)
@@ -55,7 +57,7 @@
     m_state.openRequests.emplace(this, weak_from_this());
     m_exchange->onGone = [self = shared_from_this()] { self->onGone(); };
     if (const auto refusal = request_admission(m_state).admit(*m_exchange, m_request)) {
-        refuse(refusal->status, refusal->reason, refusal->retryAfter);
+        refuse(*refusal);
         return;
     }
     m_state.retries.noteRequest(m_request.query.service, m_state.members.size());
@@ -63,30 +65,34 @@
     attempt();
 }
 
-void request_flow::attempt()
+selection request_flow::selectNext()
 {
     const auto now = monotonicNow();
     m_request.query.objective = m_exchange->arrivedAt + microseconds(m_request.rule->objective) - now;
     m_request.query.timeLeft = m_request.limit - now;
-    const upstream_selector selector(m_state);
-    const auto chosen
-        = m_request.query.timeLeft < leastAttemptTime ? selection {} : selector.select(m_request.query, now);
+    return upstream_selector(m_state).select(m_request.query, now);
+}
+
+void request_flow::attempt()
+{
+    const bool isTooLate = m_request.limit - monotonicNow() < leastAttemptTime;
+    const auto chosen = isTooLate ? selection {} : selectNext();
     if (chosen.reason == selection_reason::chosen) {
         send(chosen);
         return;
     }
-    if (m_failureAnswer) {
-        finish(*m_failureAnswer, "upstream_failure");
-        return;
-    }
-    if (m_mayHaveRun) {
-        refuse(502, "upstream_outcome_unknown");
-        return;
-    }
     const bool isFull = chosen.reason == selection_reason::no_room;
     const auto retryAfter = isFull ? std::chrono::duration_cast<milliseconds>(chosen.wait) + retryAfterWithoutUpstream
                                    : retryAfterWithoutUpstream;
-    refuse(503, isFull ? "no_capacity" : "no_healthy_upstream", retryAfter);
+    endUnanswered(outcomeUnknown, { 503, isFull ? "no_capacity" : "no_healthy_upstream", retryAfter });
+}
+
+void request_flow::endUnanswered(const own_refusal& ifMayHaveRun, const own_refusal& ifNotRun)
+{
+    if (m_failureAnswer)
+        finish(*m_failureAnswer, "upstream_failure");
+    else
+        refuse(m_mayHaveRun ? ifMayHaveRun : ifNotRun);
 }
 
 http_request request_flow::outgoing(const listed_upstream& upstream) const
@@ -233,6 +239,11 @@
     if (!m_state.quarantine.empty()
         && m_state.quarantine.quarantinedFor(fingerprintOf(*m_exchange, m_request), monotonicNow()))
         return false;
+    return takeRetry();
+}
+
+bool request_flow::takeRetry()
+{
     const bool isTaken = m_state.retries.takeRetry(m_request.query.service, m_state.members.size());
     m_state.counters.retries += isTaken ? 1 : 0;
     return isTaken;
@@ -240,13 +251,8 @@
 
 void request_flow::giveUp(const upstream_answer& meaning)
 {
-    if (m_failureAnswer)
-        finish(*m_failureAnswer, "upstream_failure");
-    else if (m_mayHaveRun)
-        refuse(502, "upstream_outcome_unknown");
-    else
-        refuse(503, meaning.verdict == attempt_verdict::shed ? "upstream_full" : "no_healthy_upstream",
-            retryAfterWithoutUpstream);
+    const std::string reason = meaning.verdict == attempt_verdict::shed ? "upstream_full" : "no_healthy_upstream";
+    endUnanswered(outcomeUnknown, { 503, reason, retryAfterWithoutUpstream });
 }
 
 void request_flow::armTimer()
@@ -285,13 +291,9 @@
 
 void request_flow::moveOn()
 {
-    const auto now = monotonicNow();
-    m_request.query.objective = m_exchange->arrivedAt + microseconds(m_request.rule->objective) - now;
-    m_request.query.timeLeft = m_request.limit - now;
-    const auto next = upstream_selector(m_state).select(m_request.query, now);
+    const auto next = selectNext();
     // The silent upstream may still answer; without another one it is waited for.
-    if (next.reason != selection_reason::chosen
-        || !m_state.retries.takeRetry(m_request.query.service, m_state.members.size()))
+    if (next.reason != selection_reason::chosen || !takeRetry())
         return;
     abandonAttempt(attempt_verdict::broken);
     send(next);
@@ -319,12 +321,7 @@
 void request_flow::onTimeLimit()
 {
     abandonAttempt(attempt_verdict::timed_out);
-    if (m_failureAnswer)
-        finish(*m_failureAnswer, "upstream_failure");
-    else if (m_mayHaveRun)
-        refuse(504, "timeout");
-    else
-        refuse(503, "deadline_passed");
+    endUnanswered({ 504, "timeout" }, { 503, "deadline_passed" });
 }
 
 void request_flow::onGone()
@@ -338,9 +335,9 @@
     log("caller_gone", 0);
 }
 
-void request_flow::refuse(int status, const std::string& reason, milliseconds retryAfter)
+void request_flow::refuse(const own_refusal& refusal)
 {
-    finish(ownAnswer(status, reason, retryAfter), reason);
+    finish(ownAnswer(refusal.status, refusal.reason, refusal.retryAfter), refusal.reason);
 }
 
 void request_flow::finish(caller_answer answer, const std::string& decision)
--- a/src/flamingoroute/serving/request_flow.hpp
+++ b/src/flamingoroute/serving/request_flow.hpp
@@ -19,6 +19,7 @@
 
 class client_connection;
 struct exchange_result;
+struct own_refusal;
 struct serving_state;
 struct upstream_answer;
 enum class version_sample;
@@ -38,6 +39,7 @@
     void endEarly();
 
 private:
+    selection selectNext();
     void attempt();
     void send(const selection& chosen);
     http_request outgoing(const listed_upstream& upstream) const;
@@ -46,6 +48,7 @@
     void noteVersion(version_sample sample);
     double timeRatio() const;
     void learn(const exchange_result& result, const upstream_answer& meaning);
+    bool takeRetry();
     bool mayRetry(const upstream_answer& meaning);
     void giveUp(const upstream_answer& meaning);
     void endAttempt(const attempt_report& report);
@@ -58,7 +61,8 @@
     void onTimeLimit();
     void onGone();
 
-    void refuse(int status, const std::string& reason, milliseconds retryAfter = milliseconds(0));
+    void refuse(const own_refusal& refusal);
+    void endUnanswered(const own_refusal& ifMayHaveRun, const own_refusal& ifNotRun);
     void finish(caller_answer answer, const std::string& decision);
     void log(const std::string& decision, int status) const;
 
