Lend tokens of floors to instances that have none while no pool answers

Cause: in an outage of the platform nobody can take a customer's pool over from a holder that died, and floors belong to an incarnation; an instance that restarted had neither and answered 429 inside the customer's rate. Ruled out: floors that pass to the next incarnation (a peer may know an older table than the one that lowered them); take-over of the pool without the store (a holder cut off from its successor would go on); floors split statically (an instance that is late with a lowered limit would admit too much). Change: a machine whose requests wait and that reaches no pool asks another instance for whole tokens of its floor. A loan lives as long as a grant, takes room in the lender's floor until then, and the floor of a replaced incarnation is given to others only after that time.

--- a/src/flamingoroute/limits/allocation_plan.cpp
+++ b/src/flamingoroute/limits/allocation_plan.cpp
@@ -56,7 +56,8 @@
         const auto* facts = factsOf(input, row.instance);
         if (!facts)
             continue;
-        const bool isGone = facts->lastIncarnation > row.holderIncarnation || facts->isExpired;
+        const bool isReplaced = facts->lastIncarnation > row.holderIncarnation && !facts->mayHaveLent;
+        const bool isGone = isReplaced || facts->isExpired;
         if (isGone)
             row.reserved = row.target = {};
         else if (facts->lastIncarnation == row.holderIncarnation && facts->confirmedVersion >= row.changedIn)
--- a/src/flamingoroute/limits/allocation_plan.hpp
+++ b/src/flamingoroute/limits/allocation_plan.hpp
@@ -14,6 +14,7 @@
     double demandPerSecond = 0;
     std::uint64_t confirmedVersion = 0; ///< newest table version that it said to follow
     bool isExpired = false; ///< its floor's hold has surely passed
+    bool mayHaveLent = false; ///< an incarnation before the newest may have lent tokens that are not spent yet
 
     bool operator==(const holder_facts&) const = default;
 };
--- a/src/flamingoroute/limits/allocator.cpp
+++ b/src/flamingoroute/limits/allocator.cpp
@@ -91,8 +91,10 @@
     auto& known = state.reporters[from];
     if (usage.senderIncarnation < known.lastIncarnation)
         return;
-    if (usage.senderIncarnation > known.lastIncarnation)
+    if (usage.senderIncarnation > known.lastIncarnation) {
         known = {};
+        known.firstHeardAt = now;
+    }
     known.lastIncarnation = usage.senderIncarnation;
     known.demandPerSecond = usage.demandPerSecond;
     known.confirmedVersion = std::max(known.confirmedVersion, usage.tableVersion);
--- a/src/flamingoroute/limits/allocator_holder.cpp
+++ b/src/flamingoroute/limits/allocator_holder.cpp
@@ -172,12 +172,13 @@
     const auto hold = m_settings.floorHold + m_settings.clockDrift;
     for (const auto& [instance, known] : state.reporters) {
         const bool isExpired = std::max(known.heardAt, state.heldSince) + hold < now;
+        const bool mayHaveLent = now <= known.firstHeardAt + m_settings.grantLife + m_settings.clockDrift;
         input.holders.push_back(
-            { instance, known.lastIncarnation, known.demandPerSecond, known.confirmedVersion, isExpired });
+            { instance, known.lastIncarnation, known.demandPerSecond, known.confirmedVersion, isExpired, mayHaveLent });
     }
     for (const auto& row : state.table->floors) {
         if (!state.reporters.contains(row.instance))
-            input.holders.push_back({ row.instance, row.holderIncarnation, 0, 0, state.heldSince + hold < now });
+            input.holders.push_back({ row.instance, row.holderIncarnation, 0, 0, state.heldSince + hold < now, false });
     }
     return input;
 }
--- a/src/flamingoroute/limits/internal/customer_allocation.hpp
+++ b/src/flamingoroute/limits/internal/customer_allocation.hpp
@@ -15,6 +15,7 @@
 /// What a control process knows of one customer's table.
 struct customer_allocation {
     struct reporter {
+        monotonic_time firstHeardAt; ///< of this incarnation
         std::uint64_t lastIncarnation = 0;
         double demandPerSecond = 0;
         std::uint64_t confirmedVersion = 0;
--- a/src/flamingoroute/limits/rate_limiter.cpp
+++ b/src/flamingoroute/limits/rate_limiter.cpp
@@ -109,11 +109,22 @@
     if (!slot.decisions.empty())
         slot.decided.notify_all();
     auto messages = slot.machine.takeMessages();
+    addressLoans(messages);
     if (!slot.machine.isPoolKnown())
         askPeer(messages);
     return messages;
 }
 
+/// Names a receiver for messages that may go to any other instance, and drops them if there is none.
+void rate_limiter::addressLoans(std::vector<limit_message>& messages) const
+{
+    for (auto& message : messages) {
+        if (message.to.empty() && m_pickPeer)
+            message.to = m_pickPeer();
+    }
+    std::erase_if(messages, [](const limit_message& message) { return message.to.empty(); });
+}
+
 /// Sends reports to another instance's control process as well, which answers with the table if it has it.
 void rate_limiter::askPeer(std::vector<limit_message>& messages) const
 {
--- a/src/flamingoroute/limits/rate_limiter.hpp
+++ b/src/flamingoroute/limits/rate_limiter.hpp
@@ -31,7 +31,7 @@
     rate_limiter(instance_id self, incarnation selfIncarnation, const limit_settings& settings, message_sender send);
 
     /// @param pick any other instance, or an empty name; it is asked who keeps a pool that is not known here, since the
-    ///        platform may be out of reach
+    ///        platform may be out of reach, and for loans while no pool answers
     void setPeerPick(std::function<instance_id()> pick) { m_pickPeer = std::move(pick); }
 
     /// Takes one token of the customer's rate. Blocks up to limit_settings::maxWait for one.
@@ -73,6 +73,7 @@
         customer_slot& slot, std::unique_lock<std::mutex>& lock, std::uint64_t request, monotonic_time deadline);
     static refusal overRate(customer_slot& slot);
     std::vector<limit_message> settle(customer_slot& slot) const;
+    void addressLoans(std::vector<limit_message>& messages) const;
     void askPeer(std::vector<limit_message>& messages) const;
     void sayHello(std::vector<limit_message>& messages);
     template <typename Body, typename Use> void receiveAll(const envelope& message, Use use);
--- a/src/flamingoroute/limits/share_machine.cpp
+++ b/src/flamingoroute/limits/share_machine.cpp
@@ -10,6 +10,8 @@
 constexpr milliseconds fastDemandWindow { 200 };
 constexpr milliseconds slowDemandWindow { 5000 };
 constexpr std::size_t rememberedReports = 8;
+/// A pool that answers does so within a few paths' delay; after this, requests that wait can still borrow in time.
+constexpr milliseconds poolPatience { 100 };
 constexpr milliseconds shortestRetryAfter { 100 };
 constexpr milliseconds longestRetryAfter { 10000 };
 
@@ -22,6 +24,7 @@
     , m_incarnation(selfIncarnation)
     , m_settings(settings)
     , m_stock(settings, selfIncarnation, now)
+    , m_borrowed(settings, selfIncarnation, now)
     , m_pool(settings)
     , m_demand(fastDemandWindow)
     , m_slowDemand(slowDemandWindow)
@@ -44,6 +47,7 @@
     const auto wait = isCold ? m_settings.coldWait : m_settings.maxWait;
     m_waiting.push_back({ request, std::min(deadline, now + wait) });
     draw(now);
+    borrow(now);
     if (isCold)
         report(now);
     return admission::waiting;
@@ -58,7 +62,7 @@
 {
     if (!isFloorValid(now))
         return false;
-    m_floor.advance(now);
+    advanceFloor(now);
     return m_floor.level() >= keep + 1 && m_floor.tryTake(1);
 }
 
@@ -67,7 +71,7 @@
     // A full floor mints nothing more, so it is spent first; otherwise what expires goes first.
     if (tryTakeFloor(now, std::max(0, m_floor.currentShare().depth - 1)))
         return true;
-    if (m_stock.tryTake(now) || m_pool.tryTakeLocal(now))
+    if (m_borrowed.tryTake(now) || m_stock.tryTake(now) || m_pool.tryTakeLocal(now))
         return true;
     return tryTakeFloor(now, 0);
 }
@@ -108,14 +112,21 @@
 
 void share_machine::onGrant(monotonic_time now, const share_grant& grant)
 {
-    if (!m_stock.accept(now, grant))
+    const bool isLoan = grant.epoch == 0;
+    auto& stock = isLoan ? m_borrowed : m_stock;
+    if (!stock.accept(now, grant))
         return;
-    m_waitingSince = {};
+    if (!isLoan)
+        m_waitingSince = {};
     serveWaiting(now);
 }
 
 void share_machine::onRequest(monotonic_time now, const instance_id& from, const share_request& request)
 {
+    if (request.epoch == 0) {
+        lend(now, from, request);
+        return;
+    }
     m_pool.onRequest(now, from, request);
     serveWaiting(now);
     servePool(now);
@@ -158,9 +169,12 @@
     // Only an answer to a report of this machine may raise: an old assignment may speak to a machine long forgotten.
     if (answered == m_reports.end() && !isLower)
         return;
+    // Tokens lent out of the floor are still to be spent; the allocator sends a lowered floor again.
+    if (isLower && target != current && lentTokens(now) > 0)
+        return;
     if (!isFloorValid(now))
         m_floor.restart(now);
-    m_floor.setShare(now, target);
+    m_floor.setShare(now, target, lentTokens(now));
     if (answered != m_reports.end())
         m_floorValidUntil = std::max(m_floorValidUntil, answered->sentAt + m_settings.floorHold);
     m_isReportUrgent = m_isReportUrgent || assignment.tableVersion > m_tableVersion;
@@ -188,6 +202,53 @@
     send(m_poolInstance, process_role::entry, std::move(request));
 }
 
+bool share_machine::isPoolReachable(monotonic_time now) const
+{
+    if (m_poolInstance.empty())
+        return false;
+    if (m_poolInstance == m_self)
+        return isPoolHere(now);
+    return m_waitingSince == monotonic_time {} || m_waitingSince + poolPatience > now;
+}
+
+void share_machine::borrow(monotonic_time now)
+{
+    const bool isDue = m_lastBorrow + m_settings.requestInterval <= now;
+    if (m_waiting.empty() || !isDue || isPoolReachable(now))
+        return;
+    m_lastBorrow = now;
+    auto request = m_borrowed.makeRequest(now, static_cast<int>(m_waiting.size()), 0);
+    request.customer = m_customer.value();
+    send(instance_id {}, process_role::entry, std::move(request));
+}
+
+void share_machine::lend(monotonic_time now, const instance_id& to, const share_request& request)
+{
+    const auto life = m_settings.grantLife + m_settings.clockDrift;
+    if (!m_waiting.empty() || now + life >= m_floorValidUntil)
+        return;
+    advanceFloor(now);
+    // Half of what is here stays for the requests of this instance.
+    const int tokens = std::min(request.waiting, (m_floor.available() + 1) / 2);
+    if (tokens <= 0 || !m_floor.tryTake(tokens))
+        return;
+    m_lent.push_back({ tokens, now + life });
+    send(to, process_role::entry,
+        share_grant { m_customer.value(), 0, request.senderIncarnation, request.sequence, request.sequence, tokens });
+}
+
+int share_machine::lentTokens(monotonic_time now)
+{
+    while (!m_lent.empty() && m_lent.front().expiresAt <= now)
+        m_lent.pop_front();
+    int sum = 0;
+    for (const auto& loan : m_lent)
+        sum += loan.tokens;
+    return sum;
+}
+
+void share_machine::advanceFloor(monotonic_time now) { m_floor.advance(now, lentTokens(now)); }
+
 void share_machine::report(monotonic_time now)
 {
     const bool isDue = m_lastReport + m_settings.reportInterval <= now;
@@ -220,10 +281,11 @@
 
 void share_machine::tick(monotonic_time now)
 {
-    m_floor.advance(now);
+    advanceFloor(now);
     serveWaiting(now);
     servePool(now);
     draw(now);
+    borrow(now);
     report(now);
 }
 
@@ -238,7 +300,7 @@
 
 milliseconds share_machine::retryAfter(monotonic_time now)
 {
-    m_floor.advance(now);
+    advanceFloor(now);
     const auto own = std::min(m_floor.untilNextToken(), m_pool.untilNextToken());
     return std::clamp(own, shortestRetryAfter, longestRetryAfter);
 }
@@ -246,7 +308,7 @@
 bool share_machine::isForgettable(monotonic_time now)
 {
     return m_lastAsk + m_settings.idleAfter < now && m_waiting.empty() && !hasFloor(now) && !m_pool.isActive(now)
-        && m_stock.available(now) == 0;
+        && m_stock.available(now) == 0 && lentTokens(now) == 0;
 }
 
 share share_machine::shareInUse(monotonic_time now)
--- a/src/flamingoroute/limits/share_machine.hpp
+++ b/src/flamingoroute/limits/share_machine.hpp
@@ -17,9 +17,9 @@
 namespace flamingoroute {
 
 /// What one instance does about the rate and burst of one customer: its floor, the grants that it has drawn, the
-/// pool if it keeps it, and the requests that wait. Pure: each event comes with the time; messages and decisions are
-/// collected by the caller. Over any time t, all share machines of a customer together admit at most
-/// rate x t + burst requests.
+/// pool if it keeps it, loans between floors while no pool answers, and the requests that wait. Pure: each event comes
+/// with the time; messages and decisions are collected by the caller. Over any time t, all share machines of a customer
+/// together admit at most rate x t + burst requests.
 class share_machine {
 public:
     /// @param customer whose requests are counted
@@ -52,7 +52,7 @@
     /// Serves and refuses those that wait, draws tokens, reports. To be called every few milliseconds.
     void tick(monotonic_time now);
 
-    /// @return messages to be sent, in order
+    /// @return messages to be sent, in order; one without a receiver may go to any other instance
     std::vector<limit_message> takeMessages();
 
     /// @return requests whose wait has ended
@@ -82,6 +82,10 @@
         std::uint64_t sequence = 0;
         monotonic_time sentAt;
     };
+    struct given_loan {
+        int tokens = 0;
+        monotonic_time expiresAt;
+    };
 
     bool isPoolHere(monotonic_time now) const { return m_pool.isActive(now); }
     bool isFloorValid(monotonic_time now) const { return now < m_floorValidUntil; }
@@ -91,6 +95,11 @@
     void serveWaiting(monotonic_time now);
     void servePool(monotonic_time now);
     void draw(monotonic_time now);
+    bool isPoolReachable(monotonic_time now) const;
+    void borrow(monotonic_time now);
+    void lend(monotonic_time now, const instance_id& to, const share_request& request);
+    int lentTokens(monotonic_time now);
+    void advanceFloor(monotonic_time now);
     void report(monotonic_time now);
     void send(const instance_id& to, process_role role, decltype(limit_message::body) body);
     void followFloor(monotonic_time now, const share_assignment& assignment);
@@ -104,6 +113,8 @@
     std::uint64_t m_tableVersion = 0;
     instance_id m_poolInstance;
     grant_stock m_stock;
+    grant_stock m_borrowed; ///< loans of other instances' floors
+    std::deque<given_loan> m_lent; ///< by this floor; they take room in it until they expire
     grant_pool m_pool;
     demand_meter m_demand;
     demand_meter m_slowDemand;
@@ -112,6 +123,7 @@
     std::uint64_t m_reportSequence = 0;
     monotonic_time m_lastAsk;
     monotonic_time m_lastDraw;
+    monotonic_time m_lastBorrow;
     monotonic_time m_lastReport;
     monotonic_time m_waitingSince; ///< first request for tokens that the pool has not answered
     bool m_isReportUrgent = true;
--- a/src/flamingoroute/limits/share_request.hpp
+++ b/src/flamingoroute/limits/share_request.hpp
@@ -8,11 +8,12 @@
 
 namespace flamingoroute {
 
-/// Asks a customer's pool for tokens and reports what became of earlier grants.
+/// Asks a customer's pool for tokens and reports what became of earlier grants; or asks another instance for a loan of
+/// tokens out of its floor, while no pool answers.
 /// Replaces the sender's earlier request; receivers drop one with a sequence that is not higher.
 struct share_request {
     std::string customer;
-    std::uint64_t epoch = 0; ///< of the lease under which the pool is thought to run
+    std::uint64_t epoch = 0; ///< of the lease under which the pool is thought to run; 0 asks for a loan
     std::uint64_t senderIncarnation = 0;
     std::uint64_t sequence = 0; ///< grows with each request of the sender to any pool
     int waiting = 0; ///< tokens for requests that wait now
--- a/tests/support/limits/limits_fleet.cpp
+++ b/tests/support/limits/limits_fleet.cpp
@@ -278,6 +278,10 @@
 
 void limits_fleet::transmit(const node& from, std::uint64_t fromIncarnation, limit_message message)
 {
+    if (message.to.empty())
+        message.to = m_members[m_random() % m_members.size()].instance;
+    if (message.to == from.self.instance && std::holds_alternative<share_request>(message.body))
+        return;
     if (!m_nodes.contains(message.to))
         return;
     const auto& to = m_nodes.at(message.to);
