Tell other instances of a broken attempt before its caller hears, and let the test proxy refuse for dead upstreams

Cause: two faults behind crashing_request. And the test's proxy went on accepting for an upstream that was dead, and reset the connection afterwards: an order written there has an unknown outcome, as promised, where a dead upstream would have refused the connection. Its listeners were also inherited by the programs under test, so closing them did not refuse anything. Ruled out: the entry's connection pool (the reset came on a new connection to the proxy's port, seen by the peer's address in the answer), a second crash by the retry of the read. Change: a refusal after a broken attempt is held until 100 ms after the notice; the proxy stops listening for a target that refuses, and its sockets close on exec.

--- a/src/flamingoroute/requests/pipeline_hooks.hpp
+++ b/src/flamingoroute/requests/pipeline_hooks.hpp
@@ -74,6 +74,9 @@
         const customer_id& customer, const route& way, const caller_request& request, const upstream& target)>
         noteBrokenAttempt;
 
+    /// Holds a refusal until other instances know of a broken attempt. May be empty.
+    std::function<void(monotonic_time until)> sleepUntil;
+
     /// Told of each whole answer, for the quarantine. May be empty.
     std::function<void(const customer_id& customer, const route& way, const caller_request& request)>
         noteAnsweredAttempt;
--- a/src/flamingoroute/requests/request_pipeline.cpp
+++ b/src/flamingoroute/requests/request_pipeline.cpp
@@ -12,6 +12,8 @@
 
 constexpr int maxAttempts = 3;
 constexpr std::size_t maxIdempotencyKeyBytes = 255;
+/// Longer than the path between any two regions.
+constexpr milliseconds noticeFlight { 100 };
 
 refusal notRun(refusal_reason reason, const std::string& step, const std::string& detail)
 {
@@ -54,6 +56,7 @@
     std::vector<upstream_id> tried;
     refusal last; ///< says why the last attempt failed; once unknown, it stays so
     bool mayHaveRun = false;
+    monotonic_time noticedUntil; ///< by then other instances know that an upstream broke off
 
     const route& way() const { return *match.way; }
     const customer_id& customer() const { return record.customer; }
@@ -287,8 +290,10 @@
     state.mayHaveRun = true;
     state.last = unknownOutcome(result);
     const bool isBroken = result.failure.code != error_code::timeout;
-    if (isBroken && m_hooks.noteBrokenAttempt)
+    if (isBroken && m_hooks.noteBrokenAttempt) {
         m_hooks.noteBrokenAttempt(state.customer(), state.way(), state.request, chosen.target);
+        state.noticedUntil = m_hooks.now() + noticeFlight;
+    }
 }
 
 bool request_pipeline::mayRetry(progress& state, const attempt_result& result) const
@@ -307,6 +312,9 @@
     state.record.refused = why.reason;
     state.record.execution = why.execution;
     state.record.isOverRate = why.reason == refusal_reason::over_rate;
+    // A caller that sends such a request again at once shall meet instances that hold it off.
+    if (m_hooks.sleepUntil && state.noticedUntil > m_hooks.now())
+        m_hooks.sleepUntil(state.noticedUntil);
     return answerOf(why);
 }
 
--- a/src/flamingoroute/runtime/request_guards.cpp
+++ b/src/flamingoroute/runtime/request_guards.cpp
@@ -7,6 +7,7 @@
 #include "flamingoroute/settings/instance_settings.hpp"
 
 #include <algorithm>
+#include <thread>
 
 namespace flamingoroute {
 
@@ -52,6 +53,7 @@
     hooks.noteBrokenAttempt = [this](const auto& customer, const auto& way, const auto& request, const auto& target) {
         m_quarantine.noteBroken(customer, way, request, target.name);
     };
+    hooks.sleepUntil = [](monotonic_time until) { std::this_thread::sleep_until(until); };
     hooks.noteAnsweredAttempt = [this](const auto& customer, const auto& way, const auto& request) {
         m_quarantine.noteAnswered(customer, way, request);
     };
--- a/tests/integration/crashing_request_test.cpp
+++ b/tests/integration/crashing_request_test.cpp
@@ -41,8 +41,10 @@
     EXPECT_NE(last.body.find("quarantined"), std::string::npos) << last.body;
     EXPECT_LE(deadUpstreams(system), 2);
     for (const auto& instance : system.instances()) {
-        EXPECT_EQ(system.send(instance, "GET", "/shop/items/7").status, 200) << instance;
-        EXPECT_EQ(system.send(instance, "POST", "/shop/orders", "ronda", {}, "tag=8").status, 200) << instance;
+        const auto read = system.send(instance, "GET", "/shop/items/7");
+        EXPECT_EQ(read.status, 200) << instance << ": " << read.body;
+        const auto order = system.send(instance, "POST", "/shop/orders", "ronda", {}, "tag=8");
+        EXPECT_EQ(order.status, 200) << instance << ": " << order.body;
     }
 }
 
--- a/tests/support/process/fault_proxy.cpp
+++ b/tests/support/process/fault_proxy.cpp
@@ -76,16 +76,65 @@
     std::int64_t backwardBytes = 0;
     bool isFrozen = false;
     bool isBroken = false;
+    bool isEndSeen = false; ///< whether the target's end was looked into
 };
 
 struct link {
     std::string name;
     endpoint target;
-    int listener = -1;
+    endpoint where;
+    int listener = -1; ///< -1 while the target refuses connections
     link_fault fault;
     std::list<connection> connections;
 };
 
+int listenAt(const endpoint& where)
+{
+    const int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    const auto address = nativeAddress(where);
+    if (bind(listener, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0
+        || listen(listener, backlog) != 0) {
+        close(listener);
+        return -1;
+    }
+    fcntl(listener, F_SETFL, O_NONBLOCK);
+    return listener;
+}
+
+/// @return a connected socket, or -1
+int connectTo(const endpoint& target)
+{
+    const int connected = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const auto address = nativeAddress(target);
+    if (connect(connected, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0)
+        return connected;
+    close(connected);
+    return -1;
+}
+
+/// Refuses connections like a target that is gone; a caller must not take the proxy's word for the target's.
+void refuseIfGone(link& on)
+{
+    const int probe = connectTo(on.target);
+    if (probe >= 0) {
+        close(probe);
+        return;
+    }
+    close(on.listener);
+    on.listener = -1;
+}
+
+void listenAgainIfBack(link& on)
+{
+    const int probe = connectTo(on.target);
+    if (probe < 0)
+        return;
+    close(probe);
+    on.listener = listenAt(on.where);
+}
+
 void readInto(half_stream& stream, bool isDropped, milliseconds delay, connection& owner, bool isBackward)
 {
     std::string bytes(readBytes, '\0');
@@ -140,19 +189,18 @@
     void acceptAll(link& on)
     {
         while (true) {
-            const int caller = accept(on.listener, nullptr, nullptr);
+            const int caller = accept4(on.listener, nullptr, nullptr, SOCK_CLOEXEC);
             if (caller < 0)
                 return;
             if (on.fault.isCut) {
                 resetAndClose(caller);
                 continue;
             }
-            const int target = socket(AF_INET, SOCK_STREAM, 0);
-            const auto address = nativeAddress(on.target);
-            if (connect(target, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0) {
-                close(target);
+            const int target = connectTo(on.target);
+            if (target < 0) {
                 resetAndClose(caller);
-                continue;
+                refuseIfGone(on);
+                return;
             }
             makeNonBlocking(caller);
             makeNonBlocking(target);
@@ -173,6 +221,10 @@
             readInto(each.forward, on.fault.isForwardDropped, on.fault.delay, each, false);
         if (targetEvents & (POLLIN | POLLHUP | POLLERR))
             readInto(each.backward, on.fault.isBackwardDropped, on.fault.delay, each, true);
+        const bool hasTargetEnded = each.backward.isFromClosed || each.isBroken;
+        if (hasTargetEnded && !each.isEndSeen && on.listener >= 0)
+            refuseIfGone(on);
+        each.isEndSeen = hasTargetEnded;
         writeDue(each.forward, each);
         writeDue(each.backward, each);
         const auto cutAfter = on.fault.cutAnswerAfterBytes;
@@ -206,6 +258,8 @@
         std::vector<pollfd> polled;
         const std::lock_guard lock(mutex);
         for (auto& on : links) {
+            if (on.listener < 0 && !on.fault.isCut)
+                listenAgainIfBack(on);
             polled.push_back({ on.listener, POLLIN, 0 });
             for (auto& each : on.connections) {
                 const bool isQuiet = each.isFrozen;
@@ -224,7 +278,7 @@
                     pump(on, each, callerEvents, targetEvents);
             }
             closeBroken(on);
-            if (hasCaller)
+            if (hasCaller && on.listener >= 0)
                 acceptAll(on);
         }
     }
@@ -269,7 +323,8 @@
     for (auto& on : m_state->links) {
         on.fault.isCut = true;
         state::closeBroken(on);
-        close(on.listener);
+        if (on.listener >= 0)
+            close(on.listener);
     }
 }
 
@@ -279,14 +334,10 @@
     link added;
     added.name = name;
     added.target = target;
-    added.listener = socket(AF_INET, SOCK_STREAM, 0);
-    const int on = 1;
-    setsockopt(added.listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    const auto address = nativeAddress(where);
-    if (bind(added.listener, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0
-        || listen(added.listener, backlog) != 0)
+    added.where = where;
+    added.listener = listenAt(where);
+    if (added.listener < 0)
         throw std::runtime_error("the proxy cannot listen on " + toString(where));
-    fcntl(added.listener, F_SETFL, O_NONBLOCK);
     const std::lock_guard lock(m_state->mutex);
     m_state->links.push_back(std::move(added));
     return where;
--- a/tests/unit/requests/request_pipeline_test.cpp
+++ b/tests/unit/requests/request_pipeline_test.cpp
@@ -218,4 +218,18 @@
     EXPECT_EQ(attempts, 1);
 }
 
+TEST_F(request_pipeline_test, holds_the_refusal_after_a_broken_attempt_until_other_instances_can_have_heard_of_it)
+{
+    std::optional<monotonic_time> heldUntil;
+    hooks.sleepUntil = [&](monotonic_time until) { heldUntil = until; };
+    outcomes = { ended(attempt_outcome::unknown) };
+    EXPECT_EQ(executionOf(handle("/deposits")), "unknown");
+    ASSERT_TRUE(heldUntil);
+    EXPECT_GT(*heldUntil, now);
+    heldUntil.reset();
+    outcomes = { ended(attempt_outcome::unknown, error_code::timeout) };
+    EXPECT_EQ(executionOf(handle("/deposits")), "unknown");
+    EXPECT_FALSE(heldUntil) << "an upstream that is only slow is not reported";
+}
+
 } // namespace flamingoroute::testing
