Have followers of a relay read from the store only what they missed

A count by kind (temporary log line) showed 8,974 watches of upstreams, mostly by instances that were cut from their relays while upstreams came and went one by one, and 3,100 lists: a relay that lists anew has a higher revision than its followers, who then listed everything themselves, and a store that is away was asked for all five kinds by each instance. Change: a digest carries the revision up to which a relay knows a kind and a hash of all names and revisions. The same hash means the same knowledge, whatever the revision. Otherwise a follower asks for the changes since its own revision, and lists only if that does not help. A relay's later list is passed on as changes. While the store is away one kind tries for all. After a watch that brought changes the next one waits 150 ms, or 500 ms without a relay in a large fleet. One line tells of the first list of upstreams, one more only of each change. Calls of instances that are cut from their relays remain the most.

--- a/src/flamingoroute/fleet/digest_book.cpp
+++ b/src/flamingoroute/fleet/digest_book.cpp
@@ -71,14 +71,17 @@
         m_relays.begin(), m_relays.end(), [&](const auto& entry) { return isConnected(entry.second, now); });
 }
 
-std::uint64_t digest_book::positionOf(const std::string& kind, monotonic_time now) const
+std::optional<store_position> digest_book::positionOf(const std::string& kind, monotonic_time now) const
 {
-    std::uint64_t farthest = 0;
+    std::optional<store_position> farthest;
     for (const auto& [name, relay] : m_relays) {
         if (!isConnected(relay, now))
             continue;
-        for (const auto& position : relay.digest.positions)
-            farthest = std::max(farthest, position.kind == kind ? position.revision : 0);
+        for (const auto& known : relay.digest.positions) {
+            const bool isFarther = !farthest || known.position.revision > farthest->revision;
+            if (known.kind == kind && isFarther)
+                farthest = known.position;
+        }
     }
     return farthest;
 }
--- a/src/flamingoroute/fleet/digest_book.hpp
+++ b/src/flamingoroute/fleet/digest_book.hpp
@@ -28,8 +28,8 @@
     /// @return whether a relay of the own region was heard just now that the store answers
     bool hasConnectedRelay(monotonic_time now) const;
 
-    /// @return how far the connected relays of the own region have read a kind; zero if none is heard
-    std::uint64_t positionOf(const std::string& kind, monotonic_time now) const;
+    /// @return how far the connected relay of the own region that is ahead of the others knows a kind, if one is heard
+    std::optional<store_position> positionOf(const std::string& kind, monotonic_time now) const;
 
 private:
     struct heard_relay {
--- a/src/flamingoroute/fleet/fleet_members.cpp
+++ b/src/flamingoroute/fleet/fleet_members.cpp
@@ -70,22 +70,14 @@
 
 void fleet_members::noteUnregistered(const instance_id& which) { m_others.erase(which); }
 
-void fleet_members::replaceRegistered(const std::vector<member>& all, monotonic_time now)
-{
-    std::set<instance_id> listed;
-    for (const auto& which : all) {
-        noteRegistered(which, now);
-        listed.insert(which.instance);
-    }
-    std::erase_if(
-        m_others, [&](const auto& entry) { return !listed.contains(entry.first) && !isFresh(entry.second, now); });
-}
-
 void fleet_members::noteReport(const fleet_report& report, monotonic_time now)
 {
     const auto sender = memberIn(report);
     if (!sender || sender->instance == m_self.instance)
         return;
+    // The last reports of an instance that has unregistered must not bring it back.
+    if (report.isLeaving && !m_others.contains(sender->instance))
+        return;
     const auto [entry, isNew] = m_others.try_emplace(sender->instance);
     if (isNew)
         entry->second.knownSince = now;
--- a/src/flamingoroute/fleet/fleet_members.hpp
+++ b/src/flamingoroute/fleet/fleet_members.hpp
@@ -21,8 +21,6 @@
     /// Told of a registered instance. One that is registered but never heard counts for shares, and is no help.
     void noteRegistered(const member& which, monotonic_time now);
     void noteUnregistered(const instance_id& which);
-    /// Takes the whole list of registered instances.
-    void replaceRegistered(const std::vector<member>& all, monotonic_time now);
 
     /// Told of a report that another instance sent.
     void noteReport(const fleet_report& report, monotonic_time now);
--- a/src/flamingoroute/fleet/kind_position.hpp
+++ b/src/flamingoroute/fleet/kind_position.hpp
@@ -1,6 +1,8 @@
 #ifndef FLAMINGOROUTE_FLEET_KIND_POSITION_HPP
 #define FLAMINGOROUTE_FLEET_KIND_POSITION_HPP
 
+#include "flamingoroute/store/store_position.hpp"
+
 #include <msgpack.hpp>
 
 #include <cstdint>
@@ -8,13 +10,13 @@
 
 namespace flamingoroute {
 
-/// The store's revision of the last change of a kind that an instance knows.
+/// How far an instance knows the objects of a kind.
 struct kind_position {
     std::string kind;
-    std::uint64_t revision = 0;
+    store_position position;
 
     bool operator==(const kind_position&) const = default;
-    MSGPACK_DEFINE(kind, revision)
+    MSGPACK_DEFINE(kind, position)
 };
 
 } // namespace flamingoroute
--- a/src/flamingoroute/moves/version_gate.cpp
+++ b/src/flamingoroute/moves/version_gate.cpp
@@ -70,11 +70,6 @@
 
 void version_gate::noteOrderGone(const service_id& service) { m_orders.erase(service); }
 
-void version_gate::retainOrders(const std::set<service_id>& listed)
-{
-    std::erase_if(m_orders, [&](const auto& entry) { return !listed.contains(entry.first); });
-}
-
 microseconds version_gate::trialTime(const running_order& running, monotonic_time now) const
 {
     const double age = std::chrono::duration<double>(now - running.since).count();
--- a/src/flamingoroute/moves/version_gate.hpp
+++ b/src/flamingoroute/moves/version_gate.hpp
@@ -46,8 +46,6 @@
     /// Told of an order as it stands in the store.
     void noteOrder(const version_order& order, monotonic_time now);
     void noteOrderGone(const service_id& service);
-    /// Forgets orders for services that are not in @p listed.
-    void retainOrders(const std::set<service_id>& listed);
 
     /// @param requestHash the same wherever the request arrives
     version_filter filterFor(const service_id& service, std::uint64_t requestHash, monotonic_time now) const;
--- a/src/flamingoroute/placement/upstream_directory.cpp
+++ b/src/flamingoroute/placement/upstream_directory.cpp
@@ -114,17 +114,6 @@
     m_upstreams.erase(known);
 }
 
-void upstream_directory::retainOnly(const std::set<upstream_id>& listed)
-{
-    std::vector<upstream_id> left;
-    for (const auto& [name, upstream] : m_upstreams) {
-        if (!listed.contains(name))
-            left.push_back(name);
-    }
-    for (const auto& name : left)
-        remove(name);
-}
-
 void upstream_directory::setEvacuated(
     const std::set<failure_domain_id>& domains, milliseconds coldTime, monotonic_time now)
 {
--- a/src/flamingoroute/placement/upstream_directory.hpp
+++ b/src/flamingoroute/placement/upstream_directory.hpp
@@ -23,9 +23,6 @@
     /// Told that an entry has left the list.
     void remove(const upstream_id& name);
 
-    /// Forgets upstreams that are not in @p listed.
-    void retainOnly(const std::set<upstream_id>& listed);
-
     /// Sets the failure domains whose upstreams get nothing.
     /// @param coldTime how long an upstream is taken for cold after its domain is taken back
     void setEvacuated(const std::set<failure_domain_id>& domains, milliseconds coldTime, monotonic_time now);
--- a/src/flamingoroute/runtime/fleet_watch.cpp
+++ b/src/flamingoroute/runtime/fleet_watch.cpp
@@ -16,10 +16,16 @@
 /// How long a watch waits for a change.
 constexpr milliseconds usualPatience { 15000 };
 constexpr milliseconds vouchingPatience { 600 };
+/// While many upstreams come and go. Far less than the shortest bound on a change, drained upstreams' included.
+constexpr milliseconds usualGap { 150 };
+/// For an instance of a large fleet that hears no relay: there are many of them, and each call has its price.
+constexpr milliseconds gapWithoutRelay { 500 };
 /// With the time that a digest takes, less than the shortest bound on a change of the configuration.
 constexpr microseconds answeredJustNow { 1'200'000 };
 /// After a start, relays that are not heard yet are about to speak.
 constexpr microseconds relayGrace { 2'500'000 };
+/// Between two attempts to register; longer than the change takes to come back through a watch or a relay.
+constexpr microseconds registrationGap { 2'000'000 };
 
 double nextRandom()
 {
@@ -97,7 +103,7 @@
     add(
         port.upstreamKind, [this](const auto& objects) { takeUpstreams(objects); },
         [this](const object_event& event) { takeUpstreamEvent(event); });
-    add(
+    m_members = add(
         port.memberKind, [this](const auto& objects) { takeMembers(objects); },
         [this](const object_event& event) { takeMember(event); });
 }
@@ -114,7 +120,11 @@
         m_tell.onBatch(toBatch(kind, after, events));
     };
     handle.mayFollow = [this] { return mayFollow(); };
-    handle.relayRevision = [this, kind] { return m_state.members.digests().positionOf(kind, monotonicNow()); };
+    handle.relayPosition = [this, kind] { return m_state.members.digests().positionOf(kind, monotonicNow()); };
+    // While the store is away one kind tries for all: each call has its price, refused ones too.
+    handle.mayRetry = [this, kind] {
+        return kind == m_port.configurationKind || !m_configuration || m_configuration->isConnected();
+    };
     return std::make_shared<object_watcher>(m_state.loop, m_store, kind, std::move(handle), nextRandom);
 }
 
@@ -157,8 +167,11 @@
     // A relay vouches for the store, so it asks for a sign of life in short intervals.
     const bool isVouching = m_state.members.usesRelays() && m_state.members.isRelay(monotonicNow());
     m_configuration->setPatience(isVouching ? vouchingPatience : usualPatience);
-    for (const auto& [kind, watcher] : m_watchers)
+    for (const auto& [kind, watcher] : m_watchers) {
+        watcher->setGap(m_state.members.usesRelays() && !isVouching ? gapWithoutRelay : usualGap);
         watcher->review();
+    }
+    keepSelfListed();
 }
 
 void fleet_watch::takeBatch(const store_batch& batch)
@@ -177,7 +190,7 @@
 {
     std::vector<kind_position> result;
     for (const auto& [kind, watcher] : m_watchers)
-        result.push_back({ kind, watcher->changeRevision() });
+        result.push_back({ kind, watcher->position() });
     return result;
 }
 
@@ -202,6 +215,8 @@
 
 void fleet_watch::takeUpstream(const fleet_object& object, bool isFirstList)
 {
+    // One line tells of the first list.
+    const auto level = isFirstList ? log_level::debug : log_level::info;
     const auto entry = m_port.readUpstream(object);
     if (!entry) {
         // An entry that cannot be read names no upstream to use, also if an earlier one did.
@@ -212,7 +227,7 @@
     const auto now = monotonicNow();
     m_state.upstreams.apply(*entry, now);
     m_state.versions.noteListed(entry->service, entry->version, isFirstList, now);
-    event_line(log_level::info, "upstream.listed")
+    event_line(level, "upstream.listed")
         .with("upstream", object.name)
         .with("service", entry->service.value())
         .with("failure_domain", entry->failureDomain.value())
@@ -222,13 +237,9 @@
 
 void fleet_watch::takeUpstreams(const std::vector<fleet_object>& objects)
 {
-    const bool isFirstList = m_state.upstreams.all().empty();
-    std::set<upstream_id> listed;
-    for (const auto& object : objects) {
-        takeUpstream(object, isFirstList);
-        listed.insert(upstream_id(object.name));
-    }
-    m_state.upstreams.retainOnly(listed);
+    for (const auto& object : objects)
+        takeUpstream(object, true);
+    event_line(log_level::info, "upstreams.listed").with("count", m_state.upstreams.all().size());
 }
 
 void fleet_watch::takeUpstreamEvent(const object_event& event)
@@ -251,7 +262,6 @@
 
 void fleet_watch::takeEvacuations(const std::vector<fleet_object>& objects)
 {
-    m_evacuated.clear();
     for (const auto& object : objects)
         m_evacuated.insert(failure_domain_id(object.name));
     applyEvacuations();
@@ -285,12 +295,8 @@
 
 void fleet_watch::takeVersionOrders(const std::vector<fleet_object>& objects)
 {
-    std::set<service_id> listed;
-    for (const auto& object : objects) {
+    for (const auto& object : objects)
         takeVersionOrder(object);
-        listed.insert(service_id(object.name));
-    }
-    m_state.versions.retainOrders(listed);
 }
 
 void fleet_watch::applyEvacuations()
@@ -309,35 +315,31 @@
 
 void fleet_watch::takeMembers(const std::vector<fleet_object>& objects)
 {
-    std::vector<member> all;
-    bool isSelfThere = false;
-    for (const auto& object : objects) {
-        const auto read = m_port.readMember(object);
-        if (read)
-            all.push_back(*read);
-        else
-            logUnreadable(object, read.error());
-        isSelfThere = isSelfThere || (read && *read == m_state.members.self());
-    }
-    m_state.members.replaceRegistered(all, monotonicNow());
-    if (!isSelfThere)
-        m_tell.onSelfUnregistered();
+    for (const auto& object : objects)
+        takeMember({ false, object });
 }
 
 void fleet_watch::takeMember(const object_event& event)
 {
     const instance_id name(event.object.name);
-    if (event.isDeleted) {
+    const auto read = event.isDeleted ? tl::unexpected(error {}) : m_port.readMember(event.object);
+    if (name == m_state.settings.instance)
+        m_isSelfListed = read && *read == m_state.members.self();
+    if (event.isDeleted)
         m_state.members.noteUnregistered(name);
-        if (name == m_state.settings.instance)
-            m_tell.onSelfUnregistered();
-        return;
-    }
-    const auto read = m_port.readMember(event.object);
-    if (read)
+    else if (read)
         m_state.members.noteRegistered(*read, monotonicNow());
     else
         logUnreadable(event.object, read.error());
 }
 
+void fleet_watch::keepSelfListed()
+{
+    const auto now = monotonicNow();
+    if (m_isSelfListed || !m_members->hasListed() || now < m_nextRegistration)
+        return;
+    m_nextRegistration = now + registrationGap;
+    m_tell.onSelfUnregistered();
+}
+
 } // namespace flamingoroute
--- a/src/flamingoroute/runtime/fleet_watch.hpp
+++ b/src/flamingoroute/runtime/fleet_watch.hpp
@@ -23,7 +23,7 @@
 public:
     /// What the watch tells its node.
     struct hooks {
-        /// Called when this instance's own registration is missing.
+        /// Called when this instance's own registration is missing, again and again until it is there.
         std::function<void()> onSelfUnregistered;
         /// Called with the changes that a watch of this instance returned.
         std::function<void(const store_batch&)> onBatch;
@@ -69,6 +69,7 @@
     void applyEvacuations();
     void takeMembers(const std::vector<fleet_object>& objects);
     void takeMember(const object_event& event);
+    void keepSelfListed();
 
     serving_state& m_state;
     watched_store& m_store;
@@ -78,6 +79,9 @@
     std::set<failure_domain_id> m_evacuated;
     std::vector<std::pair<std::string, std::shared_ptr<object_watcher>>> m_watchers; ///< by kind
     std::shared_ptr<object_watcher> m_configuration;
+    std::shared_ptr<object_watcher> m_members;
+    bool m_isSelfListed = false; ///< the store shows this instance's registration as it is
+    monotonic_time m_nextRegistration;
 };
 
 } // namespace flamingoroute
--- a/src/flamingoroute/store/object_watcher.cpp
+++ b/src/flamingoroute/store/object_watcher.cpp
@@ -13,6 +13,14 @@
 constexpr int longestPauseFailures = 4;
 /// Most of the history that a store keeps.
 constexpr milliseconds defaultPatience { 15000 };
+/// Changes that were missed are there already, so the store need not wait for any.
+constexpr milliseconds catchUpPatience { 20 };
+/// If so many catch-ups did not help, the objects are listed anew.
+constexpr int mostCatchUps = 2;
+constexpr microseconds catchUpGap { 400'000 };
+constexpr microseconds relistGap { 3'000'000 };
+/// Until the watcher that may retry has found the store.
+constexpr microseconds turnPause { 100'000 };
 
 } // namespace
 
@@ -37,7 +45,6 @@
 
 void object_watcher::list(const std::string& after)
 {
-    m_isListing = true;
     m_isFollowing = false;
     if (after.empty())
         m_pages.clear();
@@ -62,13 +69,21 @@
     if (m_failures > 0 || !m_hasListed)
         event_line(log_level::info, "store.listed").with("kind", m_kind).with("revision", m_pagesRevision);
     m_failures = 0;
-    m_hasListed = true;
-    m_isListing = false;
+    m_lastAnswerAt = monotonicNow();
+    const auto after = m_changeRevision;
     m_revision = m_pagesRevision;
     m_changeRevision = m_pagesRevision;
-    m_lastAnswerAt = monotonicNow();
     const auto objects = std::exchange(m_pages, {});
-    m_handle.onList(objects);
+    const auto changes = m_index.replace(objects);
+    if (!m_hasListed) {
+        m_hasListed = true;
+        m_handle.onList(objects);
+    } else if (!changes.empty()) {
+        for (const auto& change : changes)
+            m_handle.onEvent(change);
+        if (m_handle.onBatch)
+            m_handle.onBatch(after, object_events { changes, m_revision });
+    }
     goOn();
 }
 
@@ -81,27 +96,74 @@
 
 void object_watcher::review()
 {
-    if (!m_isFollowing || m_isStopped)
+    if (!m_isFollowing || m_isStopped || m_isCatchingUp)
         return;
-    const bool isRelayLost = !m_handle.mayFollow();
-    const bool isChangeMissed = m_handle.relayRevision && m_handle.relayRevision() > m_changeRevision;
-    if (isRelayLost || isChangeMissed)
+    if (!m_handle.mayFollow()) {
+        list(std::string());
+        return;
+    }
+    const auto position = m_handle.relayPosition ? m_handle.relayPosition() : std::nullopt;
+    if (!position || position->revision <= m_revision)
+        return;
+    if (position->contentHash == m_index.contentHash()) {
+        m_revision = position->revision;
+        m_changeRevision = position->revision;
+        m_catchUps = 0;
+        return;
+    }
+    if (monotonicNow() >= m_nextCatchUp)
+        catchUp();
+}
+
+void object_watcher::catchUp()
+{
+    ++m_catchUps;
+    if (m_catchUps > mostCatchUps) {
+        m_catchUps = 0;
+        m_nextCatchUp = monotonicNow() + relistGap;
         list(std::string());
+        return;
+    }
+    m_isCatchingUp = true;
+    m_nextCatchUp = monotonicNow() + catchUpGap;
+    m_store.watch(m_kind, m_revision, catchUpPatience,
+        [self = shared_from_this()](const auto& events) { self->onCaughtUp(events); });
+}
+
+void object_watcher::onCaughtUp(const tl::expected<object_events, error>& events)
+{
+    m_isCatchingUp = false;
+    if (m_isStopped)
+        return;
+    if (!events) {
+        m_isFollowing = false;
+        onFailure(events.error());
+        return;
+    }
+    m_lastAnswerAt = monotonicNow();
+    m_revision = std::max(m_revision, events->revision);
+    m_changeRevision = m_revision;
+    apply(events->events);
 }
 
 void object_watcher::takeBatch(std::uint64_t after, const object_events& batch)
 {
     if (m_isStopped || !m_hasListed || batch.revision <= m_revision)
         return;
-    for (const auto& event : batch.events)
-        m_handle.onEvent(event);
-    if (after > m_revision) {
-        if (m_isFollowing)
-            list(std::string());
-        return;
+    const bool isGap = after > m_revision;
+    if (!isGap) {
+        m_revision = batch.revision;
+        m_changeRevision = batch.revision;
+    }
+    apply(batch.events);
+}
+
+void object_watcher::apply(const std::vector<object_event>& events)
+{
+    for (const auto& event : events) {
+        if (m_index.apply(event))
+            m_handle.onEvent(event);
     }
-    m_revision = batch.revision;
-    m_changeRevision = batch.revision;
 }
 
 void object_watcher::watch()
@@ -122,14 +184,16 @@
     m_lastAnswerAt = monotonicNow();
     const auto after = m_changeRevision;
     m_revision = std::max(m_revision, events->revision);
-    for (const auto& event : events->events)
-        m_handle.onEvent(event);
+    apply(events->events);
     if (!events->events.empty()) {
         m_changeRevision = std::max(m_changeRevision, events->revision);
         if (m_handle.onBatch)
             m_handle.onBatch(after, *events);
     }
-    goOn();
+    if (events->events.empty() || m_gap == milliseconds(0))
+        goOn();
+    else
+        runAfter(m_gap, &object_watcher::goOn);
 }
 
 void object_watcher::onFailure(const error& failure)
@@ -141,14 +205,33 @@
     const auto pause = std::min(longestPause, growing);
     constexpr double leastPart = 0.5;
     const double part = leastPart + (1 - leastPart) * m_random();
-    m_timer.expires_after(
-        microseconds(static_cast<std::int64_t>(static_cast<double>(microseconds(pause).count()) * part)));
-    m_timer.async_wait([self = shared_from_this()](const boost::system::error_code& cancelled) {
-        if (cancelled || self->m_isStopped)
-            return;
-        // Not watch() from the last revision: a store that has just dropped its history may let such a watch wait.
-        self->list(std::string());
+    runAfter(microseconds(static_cast<std::int64_t>(static_cast<double>(microseconds(pause).count()) * part)),
+        &object_watcher::retry);
+}
+
+void object_watcher::runAfter(microseconds pause, void (object_watcher::*step)())
+{
+    m_timer.expires_after(pause);
+    m_timer.async_wait([self = shared_from_this(), step](const boost::system::error_code& cancelled) {
+        if (!cancelled && !self->m_isStopped)
+            ((*self).*step)();
     });
 }
 
+void object_watcher::retry()
+{
+    if (m_hasListed && m_handle.mayFollow && m_handle.mayFollow()) {
+        event_line(log_level::info, "store.relayed").with("kind", m_kind).with("revision", m_revision);
+        m_failures = 0;
+        m_isFollowing = true;
+        return;
+    }
+    if (m_handle.mayRetry && !m_handle.mayRetry()) {
+        runAfter(turnPause, &object_watcher::retry);
+        return;
+    }
+    // Not watch() from the last revision: a store that has just dropped its history may let such a watch wait.
+    list(std::string());
+}
+
 } // namespace flamingoroute
--- a/src/flamingoroute/store/object_watcher.hpp
+++ b/src/flamingoroute/store/object_watcher.hpp
@@ -2,6 +2,8 @@
 #define FLAMINGOROUTE_STORE_OBJECT_WATCHER_HPP
 
 #include "flamingoroute/model/monotonic_time.hpp"
+#include "flamingoroute/store/object_index.hpp"
+#include "flamingoroute/store/store_position.hpp"
 #include "flamingoroute/store/watched_store.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -9,27 +11,31 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace flamingoroute {
 
 /// Keeps up with all objects of one kind: lists them, then watches for changes, and lists anew after each failed watch.
+/// While a relay passes changes on it makes no calls, but for those that the relay's position shows to be missing.
 /// Goes on through outages with growing pauses.
 class object_watcher : public std::enable_shared_from_this<object_watcher> {
 public:
     struct handlers {
-        /// Called with all objects after each list.
+        /// Called with all objects after the first list.
         std::function<void(const std::vector<fleet_object>&)> onList;
-        /// Called for each change, in order.
+        /// Called for each change that is news, in order; also for what a later list shows to have changed.
         std::function<void(const object_event&)> onEvent;
-        /// Called after each watch that returned changes.
+        /// Called after each watch that returned changes, and after each later list that showed some.
         /// @param after nothing changed between this revision and the first change
         std::function<void(std::uint64_t after, const object_events&)> onBatch;
         /// @return whether a relay passes changes on, so that no watch is needed
         std::function<bool()> mayFollow;
-        /// @return the revision of the last change that the relay knows
-        std::function<std::uint64_t()> relayRevision;
+        /// @return how far a relay knows the objects, if one is heard
+        std::function<std::optional<store_position>()> relayPosition;
+        /// @return whether a failed call may be made again, or another watcher tries first whether the store is back
+        std::function<bool()> mayRetry;
     };
 
     /// @param random a number from 0 to 1, to spread the retries of many instances
@@ -44,14 +50,17 @@
     /// Looks whether to begin or to stop following the relay, and whether a change was missed.
     void review();
 
-    /// Takes changes that a relay passed on. After a missed batch the objects are listed anew.
+    /// Takes changes that a relay passed on. A missed batch shows by the relay's position.
     void takeBatch(std::uint64_t after, const object_events& batch);
 
     /// @param patience how long the store may wait before it answers a watch without a change
     void setPatience(milliseconds patience) { m_patience = patience; }
 
-    /// @return the revision of the last change that is known
-    std::uint64_t changeRevision() const { return m_changeRevision; }
+    /// @param gap between a watch that returned changes and the next one, so that one call brings many changes
+    void setGap(milliseconds gap) { m_gap = gap; }
+
+    /// @return how far the objects are known
+    store_position position() const { return { m_revision, m_index.contentHash() }; }
 
     /// @return when the store last answered
     monotonic_time lastAnswerAt() const { return m_lastAnswerAt; }
@@ -68,7 +77,12 @@
     void watch();
     void onEvents(const tl::expected<object_events, error>& events);
     void onFailure(const error& failure);
+    void runAfter(microseconds pause, void (object_watcher::*step)());
+    void retry();
     void goOn();
+    void catchUp();
+    void onCaughtUp(const tl::expected<object_events, error>& events);
+    void apply(const std::vector<object_event>& events);
 
     watched_store& m_store;
     std::string m_kind;
@@ -77,12 +91,16 @@
     boost::asio::steady_timer m_timer;
     std::vector<fleet_object> m_pages;
     std::uint64_t m_pagesRevision = 0;
-    std::uint64_t m_revision = 0;
-    std::uint64_t m_changeRevision = 0;
+    object_index m_index;
+    std::uint64_t m_revision = 0; ///< up to which all changes are known
+    std::uint64_t m_changeRevision = 0; ///< no change since then is known
     milliseconds m_patience;
+    milliseconds m_gap { 0 };
     monotonic_time m_lastAnswerAt;
     bool m_isFollowing = false;
-    bool m_isListing = false;
+    bool m_isCatchingUp = false;
+    int m_catchUps = 0; ///< since this watcher last knew what the relay knows
+    monotonic_time m_nextCatchUp;
     int m_failures = 0;
     bool m_hasListed = false;
     bool m_isStopped = false;
