Take the own demand at the age of the sum it is a part of

In a fleet with relays an instance divided its present demand by a sum that was up to 1.2 s older; while a customer's demand rises at all instances, the parts then sum to more than the whole. Ruled out: credit (bounded at 0.6 of a window), members counted twice. Change: the least demand reported in the time that a report takes to show in the sums.

--- a/tests/unit/fleet/relayed_fleet_test.cpp
+++ b/tests/unit/fleet/relayed_fleet_test.cpp
@@ -102,7 +102,7 @@
         own.isSettled = true;
         if (which < m_demand.size() && !m_demand[which].customer.empty())
             own.demand = { m_demand[which] };
-        m_nodes[which]->noteOwnReport(own);
+        m_nodes[which]->noteOwnReport(own, m_now);
         for (const auto& relay : m_nodes[which]->relays(m_now))
             deliver(relay.entryAddress, [&](fleet_members& node) { node.noteReport(own, m_now); });
     }
@@ -207,4 +207,32 @@
         EXPECT_FALSE(fleet.node(0).isLost(other.instance, fleet.now())) << other.instance.value();
 }
 
+TEST(relayed_fleet, splits_a_rate_into_parts_that_sum_to_no_more_than_the_whole_while_demand_rises)
+{
+    constexpr std::size_t size = 30;
+    relayed_fleet fleet(size);
+    const auto setAll = [&](float perSecond) {
+        for (std::size_t i = 0; i < size; ++i)
+            fleet.setDemand(i, perSecond, 0);
+    };
+    const auto sumOfParts = [&] {
+        double sum = 0;
+        for (std::size_t i = 0; i < size; ++i)
+            sum += rateShare(fleet.node(i).demandFor(customer_id("ronda"), fleet.now()));
+        return sum;
+    };
+    setAll(10);
+    fleet.play(5000);
+    EXPECT_NEAR(sumOfParts(), 1, 0.02);
+    // A customer that sends four times its usual, as an average over three seconds shows it.
+    for (const float perSecond : { 14.6F, 18.5F, 21.8F, 24.6F, 27.0F, 29.0F, 30.7F, 32.1F }) {
+        setAll(perSecond);
+        fleet.play(500);
+        EXPECT_LE(sumOfParts(), 1.02) << "at " << perSecond;
+        EXPECT_GE(sumOfParts(), 0.6) << "at " << perSecond;
+    }
+    fleet.play(3000);
+    EXPECT_NEAR(sumOfParts(), 1, 0.02);
+}
+
 } // namespace flamingoroute
