Admit customers that ask for less than their rate from the first half second after all instances restarted

Ruled out: usage kept in the store (a write an instance and second); credit by window counts scaled with the uptime (a customer at eight times its usual would pass its limit before the instances hear of each other). Change: once nine tenths of the instances are heard, a customer whose demand over all instances, as far as a count that began at zero can show it, is under 0.9 of its rate is admitted, up to its rate since the start. A refused caller is asked back within 0.7 s in that time.

--- a/src/flamingoroute/fleet/rate_split.cpp
+++ b/src/flamingoroute/fleet/rate_split.cpp
@@ -17,9 +17,20 @@
 /// Part of what a window may hold up to which requests are admitted on credit. The rest covers what the instances admit
 /// before they hear of each other: at eight times the rate, about three seconds' worth of the rate.
 constexpr double creditPart = 0.6;
+/// After a restart: until reports have gone round once, nobody knows what a customer asks for.
+constexpr double firstReportsSeconds = 0.4;
+/// A customer that asks for less than this part of its rate cannot exceed it soon.
+constexpr double surelyBelow = 0.9;
+constexpr double mostlyHeard = 0.9;
+/// So many requests of a customer may be chance.
+constexpr double chanceRequests = 2;
+/// Part of the slack beyond a rate that requests of the first seconds may use.
+constexpr double startSlackPart = 0.3;
 constexpr double risenFactor = 1.3;
 constexpr double risenBy = 5;
 constexpr milliseconds longestWait { 5000 };
+/// In the first seconds parts of a rate grow with what is heard, so that tokens alone say too long a wait.
+constexpr milliseconds longestWaitAfterStart { 700 };
 
 double secondsBetween(monotonic_time from, monotonic_time to)
 {
@@ -64,6 +75,22 @@
     return ownAdmitted + view.othersAdmitted + 1 <= creditPart * limit * std::min(1.0, knownPart);
 }
 
+bool rate_split::asksForLess(
+    const customer_policy& customer, const demand_view& view, double ownAdmitted, monotonic_time now) const
+{
+    const double age = secondsBetween(m_startedAt, now);
+    const double heardPart
+        = static_cast<double>(view.heard) / static_cast<double>(std::max<std::size_t>(1, view.members));
+    if (isSettled(now) || age < firstReportsSeconds || heardPart < mostlyHeard)
+        return false;
+    // A smoothed count that began at zero shows only this part of what a customer asks for.
+    const double shownPart = 1 - std::exp(-age / demandMemorySeconds);
+    const double demand = (view.ofHeard - chanceRequests / demandMemorySeconds) / shownPart;
+    const double slack = startSlackPart * (windowLimit(customer) * m_bounds.rateOvershoot + m_bounds.rateSlack);
+    const double admitted = ownAdmitted + view.othersAdmitted + 1;
+    return demand <= surelyBelow * customer.ratePerSecond && admitted <= customer.ratePerSecond * age + slack;
+}
+
 milliseconds rate_split::admit(const customer_policy& customer, const demand_view& view, monotonic_time now)
 {
     // A start begins without tokens: the process before it may have spent them.
@@ -78,14 +105,16 @@
     const double depth = std::max(1.0, share * fleetDepth(customer));
     held.tokens = std::min(depth, held.tokens + rate * elapsed);
     const double ownAdmitted = held.admitted.count(now, m_bounds.rateWindow);
-    if (held.tokens >= 1 || mayTakeCredit(customer, view, ownAdmitted, now)) {
+    if (held.tokens >= 1 || mayTakeCredit(customer, view, ownAdmitted, now)
+        || asksForLess(customer, view, ownAdmitted, now)) {
         held.tokens -= 1;
         held.admitted.add(now, m_bounds.rateWindow);
         return milliseconds(0);
     }
     constexpr double msPerSecond = 1000;
     const double wait = (1 - held.tokens) / std::max(rate, leastDemand) * msPerSecond;
-    return milliseconds(std::clamp<std::int64_t>(std::llround(wait), 1, longestWait.count()));
+    const auto longest = isSettled(now) ? longestWait : longestWaitAfterStart;
+    return milliseconds(std::clamp<std::int64_t>(std::llround(wait), 1, longest.count()));
 }
 
 bool rate_split::hasRisen(const customer_id& customer, double reported, monotonic_time now) const
--- a/src/flamingoroute/fleet/rate_split.hpp
+++ b/src/flamingoroute/fleet/rate_split.hpp
@@ -42,7 +42,10 @@
 ///
 /// Each instance mints tokens at its part of the rate. While the fleet is known to have admitted well less than a
 /// window may hold, a request is admitted on credit: parts of a small rate hold too few tokens for chance. Credit is
-/// paid back out of later tokens, so that rate and burst hold over time.
+/// paid back out of later tokens, so that rate and burst hold over time. In the first seconds after a restart, when
+/// windows do not count what was admitted before it, credit is for customers that all instances together show to ask
+/// for less than their rate: answers the seconds after all instances lost power, when parts of a rate hold no tokens
+/// yet.
 class rate_split {
 public:
     /// @param bounds what the fleet may admit beyond a rate and its burst
@@ -75,6 +78,8 @@
     double fleetDepth(const customer_policy& customer) const;
     bool mayTakeCredit(
         const customer_policy& customer, const demand_view& view, double ownAdmitted, monotonic_time now) const;
+    bool asksForLess(
+        const customer_policy& customer, const demand_view& view, double ownAdmitted, monotonic_time now) const;
     rate_usage usageIn(const account& held, monotonic_time now) const;
 
     fleet_bounds m_bounds;
--- a/tests/unit/fleet/rate_split_test.cpp
+++ b/tests/unit/fleet/rate_split_test.cpp
@@ -50,6 +50,21 @@
 
     void restart(std::size_t which) { m_splits[which] = rate_split(boundsOfUsers(), m_now); }
 
+    /// All instances lose power and start again after @p gap.
+    void restartAll(milliseconds gap)
+    {
+        m_now += gap;
+        for (std::size_t i = 0; i < m_splits.size(); ++i)
+            restart(i);
+    }
+
+    /// Counts the share of admitted requests from now on.
+    void countAnew()
+    {
+        m_asked = 0;
+        m_countedFrom = m_admittedAt.size();
+    }
+
     /// @param perSecond requests over the fleet
     /// @param share of them that go to the first instance; the rest go to any
     void play(double durationSeconds, double perSecond, double share)
@@ -81,7 +96,7 @@
         return false;
     }
 
-    double admittedShare() const { return static_cast<double>(m_admittedAt.size()) / m_asked; }
+    double admittedShare() const { return static_cast<double>(m_admittedAt.size() - m_countedFrom) / m_asked; }
 
 private:
     void exchangeReports()
@@ -119,6 +134,7 @@
     monotonic_time m_now { seconds(8) };
     monotonic_time m_reportedAt;
     std::vector<monotonic_time> m_admittedAt;
+    std::size_t m_countedFrom = 0;
     double m_asked = 0;
 };
 
@@ -166,6 +182,33 @@
     EXPECT_FALSE(fleet.isOverLimit());
 }
 
+TEST(rate_split, holds_the_rate_when_a_large_fleet_restarts_under_load)
+{
+    for (const double rate : { 3.0, 22.0, 110.0, 600.0 }) {
+        rate_fleet fleet(85, rate);
+        fleet.play(8, rate * 5, 0.05);
+        fleet.restartAll(milliseconds(500));
+        fleet.play(8, rate * 5, 0.05);
+        EXPECT_FALSE(fleet.isOverLimit()) << "rate " << rate;
+    }
+}
+
+TEST(rate_split, refuses_little_of_a_customer_at_two_thirds_of_its_rate_from_a_second_after_all_instances_restarted)
+{
+    for (const std::size_t size : { 9U, 85U }) {
+        for (const double rate : { 3.0, 22.0, 110.0 }) {
+            rate_fleet fleet(size, rate);
+            fleet.play(10, rate * 0.63, 0.1);
+            fleet.restartAll(milliseconds(1000));
+            fleet.play(1, rate * 0.63, 0.1);
+            fleet.countAnew();
+            fleet.play(5, rate * 0.63, 0.1);
+            EXPECT_GT(fleet.admittedShare(), 0.93) << size << " instances, rate " << rate;
+            EXPECT_FALSE(fleet.isOverLimit()) << size << " instances, rate " << rate;
+        }
+    }
+}
+
 TEST(rate_split, refuses_hardly_anything_while_instances_restart_in_turn)
 {
     rate_fleet fleet(9, 3);
@@ -189,6 +232,16 @@
     }
 }
 
+TEST(rate_split, asks_a_refused_caller_back_soon_while_the_fleet_has_just_started)
+{
+    demand_view view;
+    view.members = 85;
+    rate_split split(boundsOfUsers(), monotonic_time {});
+    const auto wait = split.admit(customerWith(3), view, monotonic_time { milliseconds(200) });
+    EXPECT_GT(wait, milliseconds(0));
+    EXPECT_LE(wait, milliseconds(700));
+}
+
 TEST(rate_split, admits_everything_of_a_customer_without_a_rate)
 {
     rate_split split(boundsOfUsers(), monotonic_time {});
