Add a fault soak: real nodes as processes under random faults, judged by callers and upstreams

What: soak/ plays seeds of stops, kills, pauses, store outages, lost answers and dropped history, links that are cut, go silent one way, freeze or delay, answers cut in the middle, crashed, slow and draining upstreams, evacuations and configurations, overlapping. While it runs it checks whole answers, at most once, true refusals, attempts, repeated sendings, rates, keys, configuration never older, draining, and stops that answer what was read. Ruled out while writing: two reports of an older configuration were the judge's own (an answer noted late, and a key that a node did not know yet); it now compares what a process accepted before a request was sent. Clocks are not moved: that needs rights that a test does not have.

--- /dev/null
+++ b/soak/soak_world.cpp
@@ -0,0 +1,316 @@
+#include "soak/soak_world.hpp"
+
+#include "soak/soak_terms.hpp"
+
+#include <array>
+#include <csignal>
+#include <thread>
+
+namespace flamingoroute::soak {
+
+namespace {
+
+const std::array<std::string, 3> failureDomains { "centro-a", "centro-b", "oriente-a" };
+constexpr milliseconds usualWork { 8 };
+constexpr milliseconds workStep { 5 };
+constexpr int versionStep = 3; ///< the operator's versions grow in uneven steps
+/// A node that has just started is given this long to read the store.
+constexpr seconds startTime { 2 };
+
+std::string configurationText(int version)
+{
+    const auto keys = [&](const std::string& customer) { return "[\"" + soak_world::keyOf(customer, version) + "\"]"; };
+    return R"({"version":"r)" + std::to_string(version * versionStep)
+        + R"(","routes":{"columns":["name","host","path_prefix","kind","timeout","target_latency","priority","attempts",)"
+          R"("service"],"rows":[["read","counter.example","/read/","idempotent","1000ms","400ms",2,2,"counter"],)"
+          R"(["order","counter.example","/order/","non_idempotent","1000ms","400ms",1,2,"counter"]]},)"
+          R"("services":{"columns":["name","health_check_path","connection_limit","cold_start","cold_per_s"],)"
+          R"("rows":[["counter","/health",300,"1s",20]]},)"
+          R"("limits":{"header_bytes":16384,"body_bytes":1048576,"header_timeout":"3s","idle_timeout":"15s"},)"
+          R"("tenants":{"columns":["name","api_keys","requests_per_s","burst"],"rows":[[")"
+        + terms::openCustomer + "\"," + keys(terms::openCustomer) + R"(,null,null],[")" + terms::limitedCustomer + "\","
+        + keys(terms::limitedCustomer) + "," + std::to_string(static_cast<int>(terms::limitedRate)) + ","
+        + std::to_string(static_cast<int>(terms::limitedBurst)) + "]]}}";
+}
+
+std::string headerIn(const std::string& request, const std::string& name)
+{
+    const std::string label = "\r\n" + name + ": ";
+    const auto at = request.find(label);
+    if (at == std::string::npos)
+        return {};
+    const auto start = at + label.size();
+    return request.substr(start, request.find("\r\n", start) - start);
+}
+
+std::string answerText(
+    const std::string& status, const std::string& id, const std::string& headers, const std::string& body)
+{
+    return "HTTP/1.1 " + status + "\r\nX-Flamingoroute-Request-Id: " + id + "\r\n" + headers
+        + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+} // namespace
+
+struct soak_world::node_entry {
+    std::string name;
+    std::unique_ptr<testing::platform_node> node;
+    bool isPaused = false;
+    bool isStopping = false;
+    monotonic_time stoppingSince;
+    bool wasKilled = false;
+};
+
+struct soak_world::upstream_entry {
+    std::string name;
+    std::string failureDomain;
+    endpoint address; ///< of its link
+    std::atomic<std::int64_t> workMs { usualWork.count() };
+    std::unique_ptr<testing::raw_upstream> socket;
+};
+
+soak_world::soak_world(std::size_t nodes, std::size_t upstreams, soak_judge& judge)
+    : m_judge(judge)
+{
+    publishConfiguration();
+    for (std::size_t i = 0; i < upstreams; ++i)
+        addUpstream();
+    for (std::size_t i = 0; i < nodes; ++i) {
+        auto entry = std::make_unique<node_entry>();
+        entry->name = "node-" + std::to_string(i + 1);
+        const auto store = m_proxy.addLink(entry->name + ">store", m_store.address());
+        entry->node
+            = std::make_unique<testing::platform_node>(entry->name, store, failureDomains[i % failureDomains.size()]);
+        m_nodes.emplace(entry->name, std::move(entry));
+    }
+}
+
+soak_world::~soak_world() = default;
+
+bool soak_world::waitUntilReady() const
+{
+    for (const auto& [name, entry] : m_nodes) {
+        if (!entry->node->waitUntilReady())
+            return false;
+    }
+    return true;
+}
+
+std::vector<std::string> soak_world::nodeNames() const
+{
+    std::vector<std::string> names;
+    for (const auto& [name, entry] : m_nodes)
+        names.push_back(name);
+    return names;
+}
+
+std::vector<std::string> soak_world::upstreamNames() const
+{
+    std::vector<std::string> names;
+    for (const auto& [name, entry] : m_upstreams)
+        names.push_back(name);
+    return names;
+}
+
+endpoint soak_world::callersOf(const std::string& node) const { return m_nodes.at(node)->node->callers(); }
+
+std::string soak_world::keyOf(const std::string& customer, int version)
+{
+    return customer + "-k" + std::to_string(version);
+}
+
+std::string soak_world::entryText(const upstream_entry& upstream, const std::string& state) const
+{
+    return R"({"service":"counter","address":")" + toString(upstream.address) + R"(","zone":")" + upstream.failureDomain
+        + R"(","version":"v1","slots":6,"state":")" + state + R"(","cold_remaining":"0ms","sequence":1,"born":7})";
+}
+
+void soak_world::addUpstream()
+{
+    auto entry = std::make_unique<upstream_entry>();
+    auto& self = *entry;
+    self.name = "u-" + std::to_string(++m_upstreamNumber);
+    self.failureDomain = failureDomains[static_cast<std::size_t>(m_upstreamNumber) % failureDomains.size()];
+    self.socket = std::make_unique<testing::raw_upstream>(
+        [this, &self](testing::raw_upstream& socket, Poco::Net::StreamSocket& connection, int) {
+            serve(self, socket, connection);
+        });
+    self.address = m_proxy.addLink("nodes>" + self.name, self.socket->target().address);
+    m_store.put("servers", self.name, entryText(self, "ready"));
+    m_upstreams.emplace(self.name, std::move(entry));
+}
+
+void soak_world::serve(upstream_entry& self, testing::raw_upstream& socket, Poco::Net::StreamSocket& connection)
+{
+    for (auto request = socket.readRequest(connection); !request.empty(); request = socket.readRequest(connection)) {
+        const auto id = headerIn(request, "X-Flamingoroute-Request-Id");
+        if (headerIn(request, "X-Flamingoroute-Expected-Instance") != self.name) {
+            testing::raw_upstream::send(connection, answerText("421 Misdirected Request", id, "", "other"));
+            continue;
+        }
+        const bool hasKey = !headerIn(request, "Authorization").empty();
+        if (!m_judge.noteArrived({ id, self.name, headerIn(request, "X-Flamingoroute-Tenant-Name"), hasKey }))
+            return;
+        std::this_thread::sleep_for(milliseconds(self.workMs));
+        testing::raw_upstream::send(
+            connection, answerText("200 OK", id, "X-Flamingoroute-Response-Signature: " + id + "\r\n", bodyFor(id)));
+    }
+}
+
+void soak_world::stopNode(const std::string& node)
+{
+    auto& entry = *m_nodes.at(node);
+    if (entry.isStopping || entry.isPaused || !entry.node->process().isRunning())
+        return;
+    entry.isStopping = true;
+    entry.stoppingSince = monotonicNow();
+    m_judge.noteStopping(node, true);
+    entry.node->process().signal(SIGTERM);
+}
+
+void soak_world::killNode(const std::string& node)
+{
+    auto& entry = *m_nodes.at(node);
+    m_judge.noteTrouble(node, monotonicNow() + startTime);
+    entry.wasKilled = true;
+    entry.node->process().signal(SIGKILL);
+}
+
+void soak_world::pauseNode(const std::string& node)
+{
+    auto& entry = *m_nodes.at(node);
+    m_judge.noteTrouble(node, monotonic_time::max() - soak_judge::calmAfter);
+    entry.isPaused = true;
+    entry.node->process().signal(SIGSTOP);
+}
+
+void soak_world::resumeNode(const std::string& node)
+{
+    auto& entry = *m_nodes.at(node);
+    entry.node->process().signal(SIGCONT);
+    entry.isPaused = false;
+    m_judge.endTrouble(node);
+}
+
+void soak_world::startEndedNodes()
+{
+    for (auto& [name, entry] : m_nodes) {
+        const bool isOverdue = entry->isStopping && !entry->wasKilled && !entry->isPaused
+            && monotonicNow() - entry->stoppingSince > terms::grace + workStep * 100;
+        if (isOverdue && entry->node->process().isRunning()) {
+            m_judge.noteProblem(name + " runs on after its grace period");
+            killNode(name);
+        }
+        const auto code = entry->node->process().waitForExit(milliseconds(0));
+        if (!code)
+            continue;
+        if (*code != 0 && !entry->wasKilled)
+            m_judge.noteProblem(name + " ended by itself with exit code " + std::to_string(*code));
+        m_judge.noteTrouble(name, monotonicNow() + startTime);
+        m_judge.noteNewProcess(name);
+        entry->isStopping = false;
+        entry->wasKilled = false;
+        entry->isPaused = false;
+        entry->node->startAgain();
+    }
+}
+
+void soak_world::setStoreDown(bool isDown)
+{
+    m_judge.noteTrouble("", monotonicNow());
+    m_store.setDown(isDown);
+}
+
+void soak_world::setStoreLosingAnswers(bool isLosing)
+{
+    m_judge.noteTrouble("", monotonicNow());
+    m_store.setLosingAnswers(isLosing);
+}
+
+void soak_world::dropStoreHistory()
+{
+    m_judge.noteTrouble("", monotonicNow());
+    m_store.dropHistory();
+}
+
+void soak_world::setStoreLink(const std::string& node, const testing::link_fault& fault)
+{
+    m_judge.noteTrouble(node, monotonicNow());
+    m_proxy.setFault(node + ">store", fault);
+}
+
+void soak_world::setUpstreamLink(const std::string& upstream, const testing::link_fault& fault)
+{
+    m_judge.noteTrouble("", monotonicNow());
+    m_proxy.setFault("nodes>" + upstream, fault);
+}
+
+void soak_world::publishConfiguration()
+{
+    const int version = m_version + 1;
+    m_store.put("config", "main", configurationText(version));
+    m_version = version;
+    for (const auto* customer : { terms::openCustomer, terms::limitedCustomer })
+        m_judge.noteKeyWithdrawn(soak_world::keyOf(customer, version - 1));
+}
+
+void soak_world::setEvacuated(const std::string& failureDomain, bool isEvacuated)
+{
+    if (isEvacuated && m_evacuated.insert(failureDomain).second)
+        m_store.put("evacuations", failureDomain, "{}");
+    else if (!isEvacuated && m_evacuated.erase(failureDomain) > 0)
+        m_store.remove("evacuations", failureDomain);
+}
+
+void soak_world::drainUpstream(const std::string& upstream)
+{
+    const auto known = m_upstreams.find(upstream);
+    if (known == m_upstreams.end())
+        return;
+    m_store.put("servers", upstream, entryText(*known->second, "draining"));
+    m_judge.noteLeaving(upstream);
+}
+
+void soak_world::crashUpstream(const std::string& upstream)
+{
+    const auto known = m_upstreams.find(upstream);
+    if (known == m_upstreams.end())
+        return;
+    m_judge.noteTrouble("", monotonicNow());
+    known->second->socket.reset();
+}
+
+void soak_world::slowUpstream(const std::string& upstream, milliseconds work)
+{
+    const auto known = m_upstreams.find(upstream);
+    if (known != m_upstreams.end())
+        known->second->workMs = work.count();
+}
+
+void soak_world::replaceUpstream(const std::string& gone)
+{
+    const auto known = m_upstreams.find(gone);
+    if (known == m_upstreams.end())
+        return;
+    m_store.remove("servers", gone);
+    m_judge.noteLeaving(gone);
+    m_gone.push_back(std::move(known->second));
+    m_upstreams.erase(known);
+    addUpstream();
+}
+
+void soak_world::heal()
+{
+    m_store.setDown(false);
+    m_store.setLosingAnswers(false);
+    m_proxy.heal();
+    for (const auto& [name, entry] : m_nodes)
+        resumeNode(name);
+    for (const auto& domain : failureDomains)
+        setEvacuated(domain, false);
+    for (const auto& [name, entry] : m_upstreams)
+        entry->workMs = usualWork.count();
+    m_judge.noteTrouble("", monotonicNow());
+}
+
+} // namespace flamingoroute::soak
--- /dev/null
+++ b/soak/soak_world.hpp
@@ -0,0 +1,84 @@
+#ifndef FLAMINGOROUTE_SOAK_SOAK_WORLD_HPP
+#define FLAMINGOROUTE_SOAK_SOAK_WORLD_HPP
+
+#include "soak/soak_judge.hpp"
+#include "support/platform/platform_node.hpp"
+#include "support/platform/platform_store_stand_in.hpp"
+#include "support/process/fault_proxy.hpp"
+#include "support/process/raw_upstream.hpp"
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace flamingoroute::soak {
+
+/// The nodes, their store, their upstreams and the links between them. Faults are made here, at once; who calls them
+/// keeps the time. Only the thread that owns the world makes faults; callers use keyOf() and callersOf().
+class soak_world {
+public:
+    soak_world(std::size_t nodes, std::size_t upstreams, soak_judge& judge);
+    ~soak_world();
+
+    /// @return whether all nodes became ready
+    bool waitUntilReady() const;
+
+    std::vector<std::string> nodeNames() const;
+    std::vector<std::string> upstreamNames() const;
+    endpoint callersOf(const std::string& node) const;
+
+    /// @return the version of the newest configuration
+    int version() const { return m_version; }
+    /// @return the one key of the customer in a version of the configuration
+    static std::string keyOf(const std::string& customer, int version);
+
+    void stopNode(const std::string& node);
+    void killNode(const std::string& node);
+    void pauseNode(const std::string& node);
+    void resumeNode(const std::string& node);
+    /// Starts nodes again whose processes have ended.
+    void startEndedNodes();
+
+    void setStoreDown(bool isDown);
+    void setStoreLosingAnswers(bool isLosing);
+    void dropStoreHistory();
+    void setStoreLink(const std::string& node, const testing::link_fault& fault);
+    void setUpstreamLink(const std::string& upstream, const testing::link_fault& fault);
+
+    void publishConfiguration();
+    void setEvacuated(const std::string& failureDomain, bool isEvacuated);
+    void drainUpstream(const std::string& upstream);
+    void crashUpstream(const std::string& upstream);
+    void slowUpstream(const std::string& upstream, milliseconds work);
+    /// Starts an upstream in place of one that has left or crashed.
+    void replaceUpstream(const std::string& gone);
+
+    /// Ends all faults.
+    void heal();
+
+private:
+    struct node_entry;
+    struct upstream_entry;
+
+    void addUpstream();
+    void serve(upstream_entry& self, testing::raw_upstream& socket, Poco::Net::StreamSocket& connection);
+    std::string entryText(const upstream_entry& upstream, const std::string& state) const;
+
+    soak_judge& m_judge;
+    testing::platform_store_stand_in m_store;
+    testing::fault_proxy m_proxy;
+    std::map<std::string, std::unique_ptr<upstream_entry>> m_upstreams;
+    std::vector<std::unique_ptr<upstream_entry>> m_gone; ///< their connections may still be open
+    std::map<std::string, std::unique_ptr<node_entry>> m_nodes;
+    std::set<std::string> m_evacuated;
+    int m_upstreamNumber = 0;
+    std::atomic<int> m_version { 0 };
+};
+
+} // namespace flamingoroute::soak
+
+#endif
--- a/tests/support/platform/platform_node.cpp
+++ b/tests/support/platform/platform_node.cpp
@@ -17,16 +17,16 @@
 constexpr milliseconds pollStep { 20 };
 
 std::string settingsText(const std::string& name, const endpoint& callers, const endpoint& readiness,
-    const endpoint& lookups, const endpoint& peers, const endpoint& store)
+    const endpoint& lookups, const endpoint& peers, const endpoint& store, const std::string& domain)
 {
     std::ostringstream text;
-    text << "[self]\nnode_name = \"" << name << "\"\nip = \"" << peers.address
-         << "\"\nzone = \"centro-a\"\nregion = \"centro\"\nfirst_start = true\n"
+    text << "[self]\nnode_name = \"" << name << "\"\nip = \"" << peers.address << "\"\nzone = \"" << domain
+         << "\"\nregion = \"" << domain.substr(0, domain.find('-')) << "\"\nfirst_start = true\n"
          << "[self.limits]\nfile_descriptors = 1024\n"
          << "[network]\ninternal_port_range = [" << peers.port << "," << peers.port << "]\n"
          << "[network.listen_addresses]\nfrontend = \"" << toString(callers) << "\"\nready = \"" << toString(readiness)
          << "\"\ndirectory = \"" << toString(lookups) << "\"\n"
-         << "[network.zones]\ncentro-a = \"centro\"\n"
+         << "[network.zones]\ncentro-a = \"centro\"\ncentro-b = \"centro\"\noriente-a = \"oriente\"\n"
          << "[platform.platform]\naddress = \"" << toString(store) << "\"\n"
          << "[terms.bounds]\ngrace_period = \"4s\"\nretry_budget_ratio = 0.2\nretry_budget_slack = 50\n"
          << "quota_window = \"5s\"\nquota_overshoot = 0.1\nquota_slack = 20\nexposure_share = 0.1\nexposure_slack = "
@@ -36,7 +36,7 @@
 
 } // namespace
 
-platform_node::platform_node(const std::string& name, const endpoint& store)
+platform_node::platform_node(const std::string& name, const endpoint& store, const std::string& failureDomain)
     : m_callers(freeLoopbackEndpoint())
     , m_readiness(freeLoopbackEndpoint())
     , m_lookups(freeLoopbackEndpoint())
@@ -46,7 +46,13 @@
     const std::string stem = ::testing::TempDir() + name + "-" + std::to_string(m_callers.port);
     m_settingsFile = stem + ".toml";
     m_logFile = stem + ".log";
-    std::ofstream(m_settingsFile) << settingsText(name, m_callers, m_readiness, m_lookups, m_peers, store);
+    std::ofstream(m_settingsFile) << settingsText(
+        name, m_callers, m_readiness, m_lookups, m_peers, store, failureDomain);
+    startAgain();
+}
+
+void platform_node::startAgain()
+{
     m_process = std::make_unique<child_process>(std::string(FLAMINGOROUTE_BINARY_DIR) + "/flamingo-node",
         std::vector<std::string> { "--settings=" + m_settingsFile, "--metrics_port=" + std::to_string(m_metrics.port) },
         m_logFile);
--- a/tests/support/platform/platform_node.hpp
+++ b/tests/support/platform/platform_node.hpp
@@ -14,9 +14,13 @@
 class platform_node {
 public:
     /// @param store the platform's store
-    platform_node(const std::string& name, const endpoint& store);
+    /// @param failureDomain `centro-a` or `centro-b` in the region centro, or `oriente-a` in oriente
+    platform_node(const std::string& name, const endpoint& store, const std::string& failureDomain = "centro-a");
     ~platform_node();
 
+    /// Starts the program again with the same settings, after it has ended.
+    void startAgain();
+
     /// @return whether the node says within @p patience that it is ready
     bool waitUntilReady(milliseconds patience = milliseconds { 10000 }) const;
 
--- a/tests/support/platform/platform_store_stand_in.cpp
+++ b/tests/support/platform/platform_store_stand_in.cpp
@@ -3,6 +3,7 @@
 #include "flamingoroute/settings/json_document.hpp"
 #include "support/process/free_port.hpp"
 
+#include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServer.h>
@@ -233,6 +234,8 @@
         answer = watch(path[1], after, waitMs, status);
     else
         answer = list(path[1]);
+    if (m_isLosingAnswers && request.getMethod() != "GET")
+        throw Poco::IOException("the answer is lost");
     response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
     response.setContentType("application/json");
     response.setContentLength(static_cast<std::streamsize>(answer.size()));
--- a/tests/support/platform/platform_store_stand_in.hpp
+++ b/tests/support/platform/platform_store_stand_in.hpp
@@ -41,6 +41,9 @@
     /// While set, every call is answered 503.
     void setDown(bool isDown) { m_isDown = isDown; }
 
+    /// While set, writes are done and not answered.
+    void setLosingAnswers(bool isLosing) { m_isLosingAnswers = isLosing; }
+
     /// Forgets all changes before now: watches from an earlier revision get 410.
     void dropHistory();
 
@@ -74,6 +77,7 @@
     std::uint64_t m_revision = 1;
     std::uint64_t m_historyFrom = 0;
     std::atomic<bool> m_isDown { false };
+    std::atomic<bool> m_isLosingAnswers { false };
     std::atomic<bool> m_isStopping { false };
     endpoint m_address;
     std::unique_ptr<Poco::Net::HTTPServer> m_server;
