--- a/src/flamingoroute/fleet/rate_split.cpp
+++ b/src/flamingoroute/fleet/rate_split.cpp
@@ -117,6 +117,15 @@
     return milliseconds(std::clamp<std::int64_t>(std::llround(wait), 1, longest.count()));
 }
 
+void rate_split::noteRepeat(const customer_policy& customer, monotonic_time now)
+{
+    const auto known = m_accounts.find(customer.name);
+    if (known == m_accounts.end() || customer.ratePerSecond <= 0)
+        return;
+    known->second.tokens -= 1;
+    known->second.admitted.add(now, m_bounds.rateWindow);
+}
+
 bool rate_split::hasRisen(const customer_id& customer, double reported, monotonic_time now) const
 {
     const auto known = m_accounts.find(customer);
--- a/src/flamingoroute/fleet/rate_split.hpp
+++ b/src/flamingoroute/fleet/rate_split.hpp
@@ -57,6 +57,9 @@
     /// @return zero if admitted
     milliseconds admit(const customer_policy& customer, const demand_view& view, monotonic_time now);
 
+    /// Counts one more sending of a request that was admitted and may have run: each run is one of the rate's.
+    void noteRepeat(const customer_policy& customer, monotonic_time now);
+
     /// @return whether much more of the customer was admitted than @p reported, so that others should hear of it soon
     bool hasRisen(const customer_id& customer, double reported, monotonic_time now) const;
 
--- a/src/flamingoroute/serving/request_flow.cpp
+++ b/src/flamingoroute/serving/request_flow.cpp
@@ -125,6 +125,8 @@
     ++m_attempts;
     ++m_tries;
     m_request.query.tried.insert(chosen.upstream);
+    if (m_mayHaveRun && m_request.customer != nullptr)
+        m_state.rates.noteRepeat(*m_request.customer, now);
     m_state.upstreams.noteSent(chosen.upstream);
     if (chosen.isCold)
         m_state.cold.take(chosen.upstream, now);
--- a/tests/unit/fleet/rate_split_test.cpp
+++ b/tests/unit/fleet/rate_split_test.cpp
@@ -232,6 +232,24 @@
     }
 }
 
+TEST(rate_split, takes_a_repeated_sending_out_of_the_rate)
+{
+    const auto customer = customerWith(10);
+    demand_view alone;
+    const monotonic_time now { seconds(100) };
+    const auto admittedOf = [&](bool isRepeated) {
+        rate_split split(boundsOfUsers(), monotonic_time {});
+        int admitted = 0;
+        while (split.admit(customer, alone, now) == milliseconds(0)) {
+            ++admitted;
+            if (isRepeated)
+                split.noteRepeat(customer, now);
+        }
+        return admitted;
+    };
+    EXPECT_NEAR(admittedOf(true), admittedOf(false) / 2, 1);
+}
+
 TEST(rate_split, asks_a_refused_caller_back_soon_while_the_fleet_has_just_started)
 {
     demand_view view;
