Keep a leaving instance registered until it ends

A leaving instance unregistered at once but served on for two seconds and more, while the others already shared the whole rate. Ruled out: repeated sendings (0 to 3 in the window), credit after a restart (the customer asks for five times its rate). Change: the registration is deleted right before the process ends; the directory leaves it out by its own word before.

--- a/soak/soak_judge.cpp
+++ b/soak/soak_judge.cpp
@@ -98,7 +98,8 @@
     const double allowed
         = (terms::limitedRate * window + terms::limitedBurst) * (1 + terms::rateOvershoot) + terms::rateSlack;
     if (static_cast<double>(m_limitedRuns.size()) > allowed)
-        add(customer + " had " + std::to_string(m_limitedRuns.size()) + " requests run in a window");
+        add(customer + " had " + std::to_string(m_limitedRuns.size()) + " requests run in a window, "
+            + std::to_string(m_repeats.size()) + " repeated sendings of all customers in the last ten seconds");
 }
 
 void soak_judge::noteReply(const std::string& id, const testing::http_reply& reply)
--- a/soak/soak_world.cpp
+++ b/soak/soak_world.cpp
@@ -189,6 +189,7 @@
     auto& entry = *m_nodes.at(node);
     entry.node->process().signal(SIGCONT);
     entry.isPaused = false;
+    entry.stoppingSince = monotonicNow();
     m_judge.endTrouble(node);
 }
 
--- a/src/flamingoroute/runtime/serving_node.cpp
+++ b/src/flamingoroute/runtime/serving_node.cpp
@@ -18,7 +18,9 @@
 /// Parts of the grace period: new connections are taken until the first, requests are finished until the second.
 constexpr double acceptPart = 0.5;
 constexpr double finishPart = 0.87;
-constexpr double endPart = 0.95;
+constexpr double endPart = 0.92;
+/// Several times what the store usually takes for a call from the farthest region.
+constexpr milliseconds unregisterTime { 250 };
 /// The least time before a leaving instance ends, for callers that have just been told of it.
 constexpr milliseconds leastLeave { 2000 };
 constexpr milliseconds orderWriteRetry { 700 };
@@ -107,13 +109,16 @@
         });
 }
 
-void serving_node::unregister(const instance_id& which)
+void serving_node::unregister(const instance_id& which, std::function<void()> done)
 {
-    m_store.remove(m_port.memberKind, which.value(), [name = which.value()](const auto& removed) {
-        // Another instance may have been first; whatever is left is deleted once it has been silent for long.
-        if (!removed)
-            event_line(log_level::info, "member.not_unregistered").with("instance", name).with(removed.error());
-    });
+    m_store.remove(
+        m_port.memberKind, which.value(), [name = which.value(), done = std::move(done)](const auto& removed) {
+            // Another instance may have been first; whatever is left is deleted once it has been silent for long.
+            if (!removed)
+                event_line(log_level::info, "member.not_unregistered").with("instance", name).with(removed.error());
+            if (done)
+                done();
+        });
 }
 
 void serving_node::tick()
@@ -181,7 +186,7 @@
             continue;
         event_line(log_level::info, "member.lost").with("instance", other.instance.value());
         m_state.members.noteUnregistered(other.instance);
-        unregister(other.instance);
+        unregister(other.instance, nullptr);
     }
 }
 
@@ -256,7 +261,6 @@
     m_state.isLeaving = true;
     m_leavingSince = monotonicNow();
     updateReadiness();
-    unregister(m_state.settings.instance);
     leaveStep();
 }
 
@@ -272,7 +276,7 @@
         endRequests();
     const bool isDone = passed >= leastLeave && !m_callers.isBusy();
     if (isDone || passed >= partOf(grace, endPart)) {
-        end();
+        unregisterAndEnd();
         return;
     }
     m_leaveTimer.expires_after(leaveInterval);
@@ -292,6 +296,17 @@
     }
 }
 
+void serving_node::unregisterAndEnd()
+{
+    // Not before: the others share rates and retries with this instance for as long as it serves.
+    unregister(m_state.settings.instance, [this] { end(); });
+    m_leaveTimer.expires_after(unregisterTime);
+    m_leaveTimer.async_wait([this](const boost::system::error_code& cancelled) {
+        if (!cancelled)
+            end();
+    });
+}
+
 void serving_node::end()
 {
     event_line(log_level::info, "node.ended").with("busy", m_callers.isBusy() ? 1 : 0);
--- a/src/flamingoroute/runtime/serving_node.hpp
+++ b/src/flamingoroute/runtime/serving_node.hpp
@@ -26,7 +26,9 @@
 
 private:
     void registerSelf();
-    void unregister(const instance_id& which);
+    /// @param done called once the store has answered; may be empty
+    void unregister(const instance_id& which, std::function<void()> done);
+    void unregisterAndEnd();
     void onHeard();
     void describeStore(region_digest& digest) const;
     void tick();
