Let the first relay of a region tell sums and pass changes on, and no leaving instance be a relay

Both relays of a region sent all sums (85 customers, three regions) twice a second to each instance, and both passed each change on. Change: sums come from the first relay only, about once a second or when an instance reports in haste; the second tells them while the first is silent or has lost the store. Instances that start or leave are no relays.

--- a/src/flamingoroute/fleet/digest_book.cpp
+++ b/src/flamingoroute/fleet/digest_book.cpp
@@ -9,6 +9,8 @@
 /// Three digests in a row that did not come.
 constexpr microseconds relayFreshFor { 1'700'000 };
 constexpr microseconds sumFreshFor { 4'000'000 };
+/// Two digests in a row that did not come.
+constexpr microseconds firstRelayFreshFor { 1'200'000 };
 
 } // namespace
 
@@ -28,6 +30,8 @@
 void digest_book::note(const region_digest& digest, monotonic_time now)
 {
     m_relays[instance_id(digest.sender)] = { digest, now };
+    if (!digest.hasSums)
+        return;
     noteSum(digest.sum, now);
     for (const auto& sum : digest.others) {
         if (sum.region != m_own.value())
@@ -71,6 +75,12 @@
         m_relays.begin(), m_relays.end(), [&](const auto& entry) { return isConnected(entry.second, now); });
 }
 
+bool digest_book::isConnected(const instance_id& name, monotonic_time now) const
+{
+    const auto relay = m_relays.find(name);
+    return relay != m_relays.end() && isConnected(relay->second, now) && now - relay->second.at < firstRelayFreshFor;
+}
+
 std::optional<store_position> digest_book::positionOf(const std::string& kind, monotonic_time now) const
 {
     std::optional<store_position> farthest;
--- a/src/flamingoroute/fleet/digest_book.hpp
+++ b/src/flamingoroute/fleet/digest_book.hpp
@@ -28,6 +28,9 @@
     /// @return whether a relay of the own region was heard just now that the store answers
     bool hasConnectedRelay(monotonic_time now) const;
 
+    /// @return whether the relay @p name of the own region was heard just now that the store answers
+    bool isConnected(const instance_id& name, monotonic_time now) const;
+
     /// @return how far the connected relay of the own region that is ahead of the others knows a kind, if one is heard
     std::optional<store_position> positionOf(const std::string& kind, monotonic_time now) const;
 
--- a/src/flamingoroute/fleet/fleet_members.cpp
+++ b/src/flamingoroute/fleet/fleet_members.cpp
@@ -3,7 +3,6 @@
 #include "flamingoroute/peers/rendezvous.hpp"
 
 #include <algorithm>
-#include <limits>
 
 namespace flamingoroute {
 
@@ -19,8 +18,6 @@
 constexpr std::size_t mostWithoutRelays = 16;
 constexpr std::size_t relaysPerRegion = 2;
 constexpr double millisecondsPerSecond = 1000;
-/// Until a report of this instance shows in the sums that come back: an interval of reports and one of digests.
-constexpr microseconds sumDelay { 1'200'000 };
 /// Longer than any outage of a path that the fleet should bear without registering anew.
 constexpr microseconds lostAfter { 30'000'000 };
 
@@ -78,9 +75,6 @@
     const auto sender = memberIn(report);
     if (!sender || sender->instance == m_self.instance)
         return;
-    // The last reports of an instance that has unregistered must not bring it back.
-    if (report.isLeaving && !m_others.contains(sender->instance))
-        return;
     const auto [entry, isNew] = m_others.try_emplace(sender->instance);
     if (isNew)
         entry->second.knownSince = now;
@@ -139,12 +133,18 @@
 
 std::vector<instance_id> fleet_members::relayNames(monotonic_time now) const
 {
-    std::vector<instance_id> candidates { m_self.instance };
+    std::vector<instance_id> candidates;
+    if (m_isSelfReady)
+        candidates.push_back(m_self.instance);
     for (const auto& [name, entry] : m_others) {
         const bool isNew = now - entry.knownSince < silenceAllowed;
-        if (entry.where.region == m_self.region && (isNew || isFresh(entry, now)))
+        const bool isServing = isFresh(entry, now) && entry.isSeenReady;
+        if (entry.where.region == m_self.region && (isNew || isServing))
             candidates.push_back(name);
     }
+    // Instances that start or leave are no relays, unless there are no others.
+    if (candidates.empty())
+        candidates.push_back(m_self.instance);
     return pickByRendezvous("relay", candidates, relaysPerRegion);
 }
 
@@ -154,6 +154,12 @@
     return !usesRelays() || std::find(names.begin(), names.end(), m_self.instance) != names.end();
 }
 
+bool fleet_members::isFirstRelay(monotonic_time now) const
+{
+    const auto names = relayNames(now);
+    return names.front() == m_self.instance || !m_digests.isConnected(names.front(), now);
+}
+
 std::vector<member> fleet_members::relays(monotonic_time now) const
 {
     std::vector<member> result;
@@ -268,27 +274,6 @@
     return result;
 }
 
-void fleet_members::noteOwnReport(const fleet_report& report, monotonic_time now)
-{
-    m_ownReport = report;
-    std::map<customer_id, double> demands;
-    for (const auto& demand : report.demand)
-        demands[customer_id(demand.customer)] = demand.perSecond;
-    m_ownDemands.emplace_back(now, std::move(demands));
-    while (now - m_ownDemands.front().first > sumDelay)
-        m_ownDemands.pop_front();
-}
-
-double fleet_members::leastOwnDemand(const customer_id& customer) const
-{
-    double least = std::numeric_limits<double>::max();
-    for (const auto& [at, demands] : m_ownDemands) {
-        const auto known = demands.find(customer);
-        least = std::min(least, known == demands.end() ? 0 : known->second);
-    }
-    return m_ownDemands.empty() ? 0 : least;
-}
-
 demand_view fleet_members::ownDemand(const customer_id& customer) const
 {
     demand_view view;
@@ -305,8 +290,6 @@
 demand_view fleet_members::demandOfDigests(const customer_id& customer, monotonic_time now) const
 {
     auto view = ownDemand(customer);
-    // A part of a sum that is older than the own demand would grow with it, and all parts to more than the whole.
-    view.own = leastOwnDemand(customer);
     double admitted = 0;
     std::size_t heard = 0;
     for (const auto& sum : m_digests.freshSums(now)) {
--- a/src/flamingoroute/fleet/fleet_members.hpp
+++ b/src/flamingoroute/fleet/fleet_members.hpp
@@ -7,7 +7,6 @@
 #include "flamingoroute/model/member.hpp"
 #include "flamingoroute/model/monotonic_time.hpp"
 
-#include <deque>
 #include <map>
 #include <vector>
 
@@ -30,7 +29,7 @@
 
     /// Told of the report that this instance sends. Parts of rates follow what was reported, this instance's too, so
     /// that all instances split by the same numbers.
-    void noteOwnReport(const fleet_report& report, monotonic_time now);
+    void noteOwnReport(const fleet_report& report) { m_ownReport = report; }
 
     void setSelfReady(bool isReady) { m_isSelfReady = isReady; }
     bool isSelfReady() const { return m_isSelfReady; }
@@ -56,6 +55,10 @@
     /// @return whether this instance is a relay of its region, or each instance reads the store for itself
     bool isRelay(monotonic_time now) const;
 
+    /// @return whether this relay tells sums and passes changes on: the first one, or the second while the first is not
+    ///         heard or has lost the store
+    bool isFirstRelay(monotonic_time now) const;
+
     /// @return the relays of this instance's region, without this instance
     std::vector<member> relays(monotonic_time now) const;
 
@@ -101,12 +104,10 @@
     bool isReporting(const other_member& which, monotonic_time now) const;
     std::vector<instance_id> relayNames(monotonic_time now) const;
     demand_view ownDemand(const customer_id& customer) const;
-    double leastOwnDemand(const customer_id& customer) const;
     demand_view demandOfDigests(const customer_id& customer, monotonic_time now) const;
 
     member m_self;
     fleet_report m_ownReport;
-    std::deque<std::pair<monotonic_time, std::map<customer_id, double>>> m_ownDemands; ///< as reported lately
     digest_book m_digests;
     bool m_isSelfReady = false;
     std::map<instance_id, other_member> m_others;
--- a/src/flamingoroute/fleet/region_digest.hpp
+++ b/src/flamingoroute/fleet/region_digest.hpp
@@ -13,10 +13,12 @@
 namespace flamingoroute {
 
 /// What a relay tells: its region's sum to the relays of other regions; to the instances of its own region also whom it
-/// hears, what it heard of other regions, and how far it has read the store.
+/// hears, what it heard of other regions, and how far it has read the store. Sums are most of the bytes, so that not
+/// every digest holds them.
 struct region_digest {
     std::string sender;
     std::string senderAddress;
+    bool hasSums = true; ///< otherwise `sum` names the region only, and `others` is empty
     region_sum sum;
     std::vector<member_sight> members;
     std::vector<region_sum> others;
@@ -24,7 +26,7 @@
     std::vector<kind_position> positions;
 
     bool operator==(const region_digest&) const = default;
-    MSGPACK_DEFINE(sender, senderAddress, sum, members, others, isStoreConnected, positions)
+    MSGPACK_DEFINE(sender, senderAddress, hasSums, sum, members, others, isStoreConnected, positions)
 };
 
 } // namespace flamingoroute
--- a/src/flamingoroute/runtime/fleet_gossip.cpp
+++ b/src/flamingoroute/runtime/fleet_gossip.cpp
@@ -15,6 +15,8 @@
 /// Three lost reports in a row make an instance count as gone, which callers notice within two seconds.
 constexpr milliseconds reportInterval { 500 };
 constexpr milliseconds leastDigestGap { 150 };
+/// Between two digests with sums, unless an instance reports in haste.
+constexpr milliseconds leastSumsGap { 900 };
 /// Reports out of turn.
 constexpr milliseconds leastReportGap { 100 };
 constexpr std::size_t ringCapacity = 1024;
@@ -75,7 +77,7 @@
     if (m_isStopped)
         return;
     report(false);
-    sendDigest(reportInterval / 2);
+    sendDigest(reportInterval / 2, false);
     m_timer.expires_after(reportInterval);
     m_timer.async_wait([this](const boost::system::error_code& cancelled) {
         if (!cancelled)
@@ -109,14 +111,14 @@
     m_reportedAt = monotonicNow();
     auto own = ownReport();
     own.isUrgent = isUrgent;
-    m_state.members.noteOwnReport(own, m_reportedAt);
+    m_state.members.noteOwnReport(own);
     const std::string body = packBody(own);
     const auto to = m_state.members.usesRelays() ? m_state.members.relays(monotonicNow()) : m_state.members.others();
     for (const auto& other : to)
         m_bus.send(other.entryAddress, message_kind::fleet_report, body);
 }
 
-void fleet_gossip::sendDigest(milliseconds leastGap)
+void fleet_gossip::sendDigest(milliseconds leastGap, bool isUrgent)
 {
     const auto now = monotonicNow();
     const bool isDue = m_state.members.usesRelays() && now - m_digestAt >= leastGap;
@@ -126,25 +128,35 @@
     region_digest digest;
     digest.sender = m_state.settings.instance.value();
     digest.senderAddress = toString(m_state.settings.peers);
+    digest.sum.region = m_state.settings.region.value();
+    digest.hasSums = m_state.members.isFirstRelay(now) && (isUrgent || now - m_sumsAt >= leastSumsGap);
+    if (digest.hasSums)
+        addSums(digest, now);
+    digest.members = m_state.members.sights(now);
+    m_tell.describeStore(digest);
+    m_state.members.noteDigest(digest, now);
+    const std::string body = packBody(digest);
+    for (const auto& other : m_state.members.regionOthers())
+        m_bus.send(other.entryAddress, message_kind::region_digest, body);
+}
+
+void fleet_gossip::addSums(region_digest& digest, monotonic_time now)
+{
+    m_sumsAt = now;
     digest.sum = m_state.members.sumOfRegion(now);
-    const std::string forOtherRegions = packBody(digest);
+    const std::string body = packBody(digest);
     for (const auto& relay : m_state.members.foreignRelays(now))
-        m_bus.send(relay, message_kind::region_digest, forOtherRegions);
-    digest.members = m_state.members.sights(now);
+        m_bus.send(relay, message_kind::region_digest, body);
     for (const auto& sum : m_state.members.digests().freshSums(now)) {
         if (sum.region != digest.sum.region)
             digest.others.push_back(sum);
     }
-    m_tell.describeStore(digest);
-    m_state.members.noteDigest(digest, now);
-    const std::string forOwnRegion = packBody(digest);
-    for (const auto& other : m_state.members.regionOthers())
-        m_bus.send(other.entryAddress, message_kind::region_digest, forOwnRegion);
 }
 
 void fleet_gossip::relayBatch(const store_batch& batch)
 {
-    if (!m_state.members.usesRelays() || !m_state.members.isRelay(monotonicNow()))
+    const auto now = monotonicNow();
+    if (!m_state.members.usesRelays() || !m_state.members.isRelay(now) || !m_state.members.isFirstRelay(now))
         return;
     const std::string body = packBody(batch);
     for (const auto& other : m_state.members.regionOthers())
@@ -212,7 +224,7 @@
     }
     m_state.members.noteReport(*report, monotonicNow());
     if (report->isUrgent)
-        sendDigest(leastDigestGap);
+        sendDigest(leastDigestGap, true);
     m_tell.onHeard();
 }
 
--- a/src/flamingoroute/runtime/fleet_gossip.hpp
+++ b/src/flamingoroute/runtime/fleet_gossip.hpp
@@ -55,7 +55,9 @@
     fleet_report ownReport() const;
     void reportSoon();
     /// Sends a digest, if this instance is a relay and the last one is at least @p leastGap ago.
-    void sendDigest(milliseconds leastGap);
+    /// @param isUrgent whether it must tell sums, also if the last ones are not old
+    void sendDigest(milliseconds leastGap, bool isUrgent);
+    void addSums(region_digest& digest, monotonic_time now);
     void takeReport(const envelope& message);
     void takeDigest(const envelope& message);
     void forwardNotice(const std::string& body);
@@ -65,6 +67,7 @@
     hooks m_tell;
     monotonic_time m_reportedAt;
     monotonic_time m_digestAt;
+    monotonic_time m_sumsAt;
     peer_bus m_bus;
     bounded_ring<envelope> m_ring;
     boost::asio::steady_timer m_timer;
