Ask the store for a sign of life every 3.5 s, and distrust all open watches when one stays without an answer

Ruled out: TCP keep-alive (it is set; what silences a connection may still acknowledge). A read without an answer is now told as a timeout.

--- a/src/flamingoroute/runtime/fleet_watch.cpp
+++ b/src/flamingoroute/runtime/fleet_watch.cpp
@@ -13,9 +13,10 @@
 
 namespace {
 
-/// How long a watch waits for a change.
-constexpr milliseconds usualPatience { 15000 };
 constexpr milliseconds vouchingPatience { 600 };
+/// One kind asks for a sign of life more often than the others: an open connection may go silent for good, and a change
+/// must be in force within a few seconds of that.
+constexpr milliseconds probingPatience { 3500 };
 /// While many upstreams come and go. Far less than the shortest bound on a change, drained upstreams' included.
 constexpr milliseconds usualGap { 150 };
 /// For an instance of a large fleet that hears no relay: there are many of them, and each call has its price.
@@ -121,6 +122,12 @@
     };
     handle.mayFollow = [this] { return mayFollow(); };
     handle.relayPosition = [this, kind] { return m_state.members.digests().positionOf(kind, monotonicNow()); };
+    handle.onSilence = [this, kind] {
+        for (const auto& [other, watcher] : m_watchers) {
+            if (other != kind)
+                watcher->distrustWatch();
+        }
+    };
     // While the store is away one kind tries for all: each call has its price, refused ones too.
     handle.mayRetry = [this, kind] {
         return kind == m_port.configurationKind || !m_configuration || m_configuration->isConnected();
@@ -166,7 +173,7 @@
 {
     // A relay vouches for the store, so it asks for a sign of life in short intervals.
     const bool isVouching = m_state.members.usesRelays() && m_state.members.isRelay(monotonicNow());
-    m_configuration->setPatience(isVouching ? vouchingPatience : usualPatience);
+    m_configuration->setPatience(isVouching ? vouchingPatience : probingPatience);
     for (const auto& [kind, watcher] : m_watchers) {
         watcher->setGap(m_state.members.usesRelays() && !isVouching ? gapWithoutRelay : usualGap);
         watcher->review();
--- a/src/flamingoroute/store/object_watcher.cpp
+++ b/src/flamingoroute/store/object_watcher.cpp
@@ -168,16 +168,32 @@
 
 void object_watcher::watch()
 {
+    m_isWatching = true;
     m_store.watch(
-        m_kind, m_revision, m_patience, [self = shared_from_this()](const auto& events) { self->onEvents(events); });
+        m_kind, m_revision, m_patience, [self = shared_from_this(), number = ++m_watchNumber](const auto& events) {
+            if (number == self->m_watchNumber)
+                self->onEvents(events);
+        });
+}
+
+void object_watcher::distrustWatch()
+{
+    if (!m_isWatching || m_isStopped)
+        return;
+    ++m_watchNumber;
+    m_isWatching = false;
+    list(std::string());
 }
 
 void object_watcher::onEvents(const tl::expected<object_events, error>& events)
 {
+    m_isWatching = false;
     if (m_isStopped)
         return;
     if (!events) {
         onFailure(events.error());
+        if (events.error().code == error_code::timeout && m_handle.onSilence)
+            m_handle.onSilence();
         return;
     }
     m_failures = 0;
--- a/src/flamingoroute/store/object_watcher.hpp
+++ b/src/flamingoroute/store/object_watcher.hpp
@@ -34,6 +34,8 @@
         std::function<bool()> mayFollow;
         /// @return how far a relay knows the objects, if one is heard
         std::function<std::optional<store_position>()> relayPosition;
+        /// Called when a watch got no answer at all: what else waits for the store may wait in vain, too.
+        std::function<void()> onSilence;
         /// @return whether a failed call may be made again, or another watcher tries first whether the store is back
         std::function<bool()> mayRetry;
     };
@@ -47,6 +49,9 @@
     /// Calls nothing any more.
     void stop();
 
+    /// Lists anew instead of waiting for the answer of an open watch.
+    void distrustWatch();
+
     /// Looks whether to begin or to stop following the relay, and whether a change was missed.
     void review();
 
@@ -97,6 +102,8 @@
     milliseconds m_patience;
     milliseconds m_gap { 0 };
     monotonic_time m_lastAnswerAt;
+    std::uint64_t m_watchNumber = 0; ///< answers of earlier watches are not waited for any more
+    bool m_isWatching = false;
     bool m_isFollowing = false;
     bool m_isCatchingUp = false;
     int m_catchUps = 0; ///< since this watcher last knew what the relay knows
--- a/src/flamingoroute/store/watched_store.hpp
+++ b/src/flamingoroute/store/watched_store.hpp
@@ -17,7 +17,8 @@
 /// The platform's object API for an event loop: each call returns at once and answers through a callback, once.
 ///
 /// Errors: `conflict` if a condition did not hold, `not_found`, `unavailable` if the call surely had no effect,
-/// `outcome_unknown` if a write may take effect, `expired` if a watch asked for history that is gone.
+/// `timeout` if a read got no answer in time, `outcome_unknown` if a write may take effect, `expired` if a watch asked
+/// for history that is gone.
 class watched_store {
 public:
     using page_callback = std::function<void(tl::expected<object_page, error>)>;
--- a/tests/unit/store/object_watcher_test.cpp
+++ b/tests/unit/store/object_watcher_test.cpp
@@ -75,6 +75,7 @@
         handle.mayFollow = [this] { return isRelayThere; };
         handle.relayPosition = [this] { return relayPosition; };
         handle.mayRetry = [this] { return mayRetry; };
+        handle.onSilence = [this] { ++silences; };
         watcher = std::make_shared<object_watcher>(loop, store, "servers", handle, [] { return 0.0; });
         watcher->start();
     }
@@ -99,6 +100,7 @@
     std::optional<store_position> relayPosition;
     object_events lastBatch;
     int lists = 0;
+    int silences = 0;
 };
 
 tl::expected<object_events, error> failed(error_code code)
@@ -297,6 +299,27 @@
     EXPECT_EQ(fixture.watchedAfter.back(), 20U);
 }
 
+TEST(object_watcher, tells_of_silence_and_lists_anew_instead_of_waiting_for_a_watch_that_is_distrusted)
+{
+    watching_fixture fixture;
+    fixture.onPage(object_page { { objectNamed("a") }, false, 10 });
+    fixture.onEvents(failed(error_code::unavailable));
+    EXPECT_EQ(fixture.silences, 0);
+    fixture.runRetry();
+    fixture.onPage(object_page { { objectNamed("a") }, false, 11 });
+    fixture.onEvents(failed(error_code::timeout));
+    EXPECT_EQ(fixture.silences, 1);
+    fixture.runRetry();
+    fixture.onPage(object_page { { objectNamed("a") }, false, 12 });
+    const auto lateAnswer = fixture.onEvents;
+    fixture.watcher->distrustWatch();
+    EXPECT_EQ(fixture.listedAfter.size(), 4U);
+    lateAnswer(object_events { { { false, objectNamed("late", 13) } }, 13 });
+    EXPECT_EQ(fixture.names, (std::vector<std::string> { "a" }));
+    fixture.onPage(object_page { { objectNamed("a"), objectNamed("late", 13) }, false, 14 });
+    EXPECT_EQ(fixture.names, (std::vector<std::string> { "a", "late" }));
+}
+
 TEST(object_watcher, says_nothing_after_it_was_stopped)
 {
     watching_fixture fixture;
