Count the own demand of a customer that rises a fifth lower, as the sums that it is held against are older

Ruled out: the least demand of the last 1.2 s: it refuses whatever has just come to an instance. Change: the least demand of the last 1.2 s, but no less than 0.8 of the present one.

--- a/src/flamingoroute/fleet/fleet_members.hpp
+++ b/src/flamingoroute/fleet/fleet_members.hpp
@@ -7,6 +7,7 @@
 #include "flamingoroute/model/member.hpp"
 #include "flamingoroute/model/monotonic_time.hpp"
 
+#include <deque>
 #include <map>
 #include <vector>
 
@@ -29,7 +30,7 @@
 
     /// Told of the report that this instance sends. Parts of rates follow what was reported, this instance's too, so
     /// that all instances split by the same numbers.
-    void noteOwnReport(const fleet_report& report) { m_ownReport = report; }
+    void noteOwnReport(const fleet_report& report, monotonic_time now);
 
     void setSelfReady(bool isReady) { m_isSelfReady = isReady; }
     bool isSelfReady() const { return m_isSelfReady; }
@@ -104,10 +105,12 @@
     bool isReporting(const other_member& which, monotonic_time now) const;
     std::vector<instance_id> relayNames(monotonic_time now) const;
     demand_view ownDemand(const customer_id& customer) const;
+    double leastOwnDemand(const customer_id& customer) const;
     demand_view demandOfDigests(const customer_id& customer, monotonic_time now) const;
 
     member m_self;
     fleet_report m_ownReport;
+    std::deque<std::pair<monotonic_time, std::map<customer_id, double>>> m_ownDemands; ///< as reported lately
     digest_book m_digests;
     bool m_isSelfReady = false;
     std::map<instance_id, other_member> m_others;
--- a/src/flamingoroute/runtime/fleet_gossip.cpp
+++ b/src/flamingoroute/runtime/fleet_gossip.cpp
@@ -111,7 +111,7 @@
     m_reportedAt = monotonicNow();
     auto own = ownReport();
     own.isUrgent = isUrgent;
-    m_state.members.noteOwnReport(own);
+    m_state.members.noteOwnReport(own, m_reportedAt);
     const std::string body = packBody(own);
     const auto to = m_state.members.usesRelays() ? m_state.members.relays(monotonicNow()) : m_state.members.others();
     for (const auto& other : to)
--- a/tests/unit/fleet/relayed_fleet_test.cpp
+++ b/tests/unit/fleet/relayed_fleet_test.cpp
@@ -117,7 +117,7 @@
         own.isSettled = true;
         if (which < m_demand.size() && !m_demand[which].customer.empty())
             own.demand = { m_demand[which] };
-        m_nodes[which]->noteOwnReport(own);
+        m_nodes[which]->noteOwnReport(own, m_now);
         for (const auto& relay : m_nodes[which]->relays(m_now))
             deliver(relay.entryAddress, [&](fleet_members& node) { node.noteReport(own, m_now); });
     }
@@ -254,4 +254,35 @@
         EXPECT_FALSE(fleet.node(0).isLost(other.instance, fleet.now())) << other.instance.value();
 }
 
+TEST(relayed_fleet, splits_a_rate_into_parts_that_sum_to_no_more_than_the_whole_while_demand_rises)
+{
+    constexpr std::size_t size = 30;
+    relayed_fleet fleet(size);
+    const auto setAll = [&](float perSecond) {
+        for (std::size_t i = 0; i < size; ++i)
+            fleet.setDemand(i, perSecond, 0);
+    };
+    const auto sumOfParts = [&] {
+        double sum = 0;
+        for (std::size_t i = 0; i < size; ++i)
+            sum += rateShare(fleet.node(i).demandFor(customer, fleet.now()));
+        return sum;
+    };
+    setAll(10);
+    fleet.play(5000);
+    EXPECT_NEAR(sumOfParts(), 1, 0.02);
+    // A customer begins to send eight times its usual, as an average over three seconds shows it. In the first seconds
+    // the window before was not full.
+    for (const float perSecond : { 20.7F, 29.8F, 37.5F, 44.0F, 49.6F, 54.2F, 58.2F, 61.5F, 64.4F, 66.8F }) {
+        setAll(perSecond);
+        fleet.play(500);
+        const bool isFull = perSecond > 52;
+        EXPECT_LE(sumOfParts(), isFull ? 1.02 : 2) << "at " << perSecond;
+    }
+    // What has just come to one instance is served there at once.
+    fleet.setDemand(4, 200, 0);
+    fleet.play(500);
+    EXPECT_GE(rateShare(fleet.node(4).demandFor(customer, fleet.now())), 0.05);
+}
+
 } // namespace flamingoroute
