Work a selection's region shares out once, and give the history of the own demand and the tests' header reader one home

No change of behaviour: the shares are worked out again only if the shift's bound has narrowed the upstreams.

--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -19,6 +19,7 @@
 constexpr milliseconds step { 20 };
 constexpr milliseconds callerPause { 15 };
 constexpr int deadlineMs = 1500;
+constexpr milliseconds drainTime { 3500 }; ///< an upstream that drains serves on for longer than the bound
 constexpr int requestsOnOneNode = 25;
 /// Faults end this long before the run does, so that it also shows whether the nodes recover.
 constexpr seconds recoveryTime { 6 };
@@ -200,14 +201,14 @@
         case 12:
             say("drain " + upstream);
             m_world.drainUpstream(upstream);
-            return after(milliseconds(3500), [this, upstream] { m_world.replaceUpstream(upstream); });
+            return after(drainTime, [this, upstream] { m_world.replaceUpstream(upstream); });
         case 13:
             say("configuration");
             return m_world.publishConfiguration();
         case 14:
             say("slow " + upstream);
             m_world.slowUpstream(upstream, milliseconds(300 + pick(1500)));
-            return after(lasting, [this, upstream] { m_world.slowUpstream(upstream, milliseconds(8)); });
+            return after(lasting, [this, upstream] { m_world.restoreUpstream(upstream); });
         default:
             say("evacuate " + domain);
             m_world.setEvacuated(domain, true);
--- a/soak/soak_world.cpp
+++ b/soak/soak_world.cpp
@@ -12,7 +12,8 @@
 
 const std::array<std::string, 3> failureDomains { "centro-a", "centro-b", "oriente-a" };
 constexpr milliseconds usualWork { 8 };
-constexpr milliseconds workStep { 5 };
+/// Beyond the grace period, for the machine's own delays.
+constexpr milliseconds graceMargin { 500 };
 constexpr int versionStep = 3; ///< the operator's versions grow in uneven steps
 /// A node that has just started is given this long to read the store.
 constexpr seconds startTime { 2 };
@@ -33,16 +34,6 @@
         + std::to_string(static_cast<int>(terms::limitedBurst)) + "]]}}";
 }
 
-std::string headerIn(const std::string& request, const std::string& name)
-{
-    const std::string label = "\r\n" + name + ": ";
-    const auto at = request.find(label);
-    if (at == std::string::npos)
-        return {};
-    const auto start = at + label.size();
-    return request.substr(start, request.find("\r\n", start) - start);
-}
-
 std::string answerText(
     const std::string& status, const std::string& id, const std::string& headers, const std::string& body)
 {
@@ -143,13 +134,13 @@
 void soak_world::serve(upstream_entry& self, testing::raw_upstream& socket, Poco::Net::StreamSocket& connection)
 {
     for (auto request = socket.readRequest(connection); !request.empty(); request = socket.readRequest(connection)) {
-        const auto id = headerIn(request, "X-Flamingoroute-Request-Id");
-        if (headerIn(request, "X-Flamingoroute-Expected-Instance") != self.name) {
+        const auto id = testing::headerIn(request, "X-Flamingoroute-Request-Id");
+        if (testing::headerIn(request, "X-Flamingoroute-Expected-Instance") != self.name) {
             testing::raw_upstream::send(connection, answerText("421 Misdirected Request", id, "", "other"));
             continue;
         }
-        const bool hasKey = !headerIn(request, "Authorization").empty();
-        if (!m_judge.noteArrived({ id, self.name, headerIn(request, "X-Flamingoroute-Tenant-Name"), hasKey }))
+        const bool hasKey = !testing::headerIn(request, "Authorization").empty();
+        if (!m_judge.noteArrived({ id, self.name, testing::headerIn(request, "X-Flamingoroute-Tenant-Name"), hasKey }))
             return;
         std::this_thread::sleep_for(milliseconds(self.workMs));
         testing::raw_upstream::send(
@@ -197,7 +188,7 @@
 {
     for (auto& [name, entry] : m_nodes) {
         const bool isOverdue = entry->isStopping && !entry->wasKilled && !entry->isPaused
-            && monotonicNow() - entry->stoppingSince > terms::grace + workStep * 100;
+            && monotonicNow() - entry->stoppingSince > terms::grace + graceMargin;
         if (isOverdue && entry->node->process().isRunning()) {
             m_judge.noteProblem(name + " runs on after its grace period");
             killNode(name);
@@ -288,6 +279,8 @@
         known->second->workMs = work.count();
 }
 
+void soak_world::restoreUpstream(const std::string& upstream) { slowUpstream(upstream, usualWork); }
+
 void soak_world::replaceUpstream(const std::string& gone)
 {
     const auto known = m_upstreams.find(gone);
--- a/soak/soak_world.hpp
+++ b/soak/soak_world.hpp
@@ -54,6 +54,8 @@
     void drainUpstream(const std::string& upstream);
     void crashUpstream(const std::string& upstream);
     void slowUpstream(const std::string& upstream, milliseconds work);
+    /// Gives an upstream its usual speed again.
+    void restoreUpstream(const std::string& upstream);
     /// Starts an upstream in place of one that has left or crashed.
     void replaceUpstream(const std::string& gone);
 
--- a/src/flamingoroute/fleet/fleet_members.cpp
+++ b/src/flamingoroute/fleet/fleet_members.cpp
@@ -3,7 +3,6 @@
 #include "flamingoroute/peers/rendezvous.hpp"
 
 #include <algorithm>
-#include <limits>
 
 namespace flamingoroute {
 
@@ -19,8 +18,6 @@
 constexpr std::size_t mostWithoutRelays = 16;
 constexpr std::size_t relaysPerRegion = 2;
 constexpr double millisecondsPerSecond = 1000;
-/// Until a report of this instance shows in the sums that come back: an interval of reports and one of digests.
-constexpr microseconds sumDelay { 1'200'000 };
 /// The least part of the present demand that counts while it rises. Less would refuse what has just come to an
 /// instance.
 constexpr double leastCountedPart = 0.8;
@@ -300,22 +297,7 @@
 void fleet_members::noteOwnReport(const fleet_report& report, monotonic_time now)
 {
     m_ownReport = report;
-    std::map<customer_id, double> demands;
-    for (const auto& demand : report.demand)
-        demands[customer_id(demand.customer)] = demand.perSecond;
-    m_ownDemands.emplace_back(now, std::move(demands));
-    while (now - m_ownDemands.front().first > sumDelay)
-        m_ownDemands.pop_front();
-}
-
-double fleet_members::leastOwnDemand(const customer_id& customer) const
-{
-    double least = std::numeric_limits<double>::max();
-    for (const auto& [at, demands] : m_ownDemands) {
-        const auto known = demands.find(customer);
-        least = std::min(least, known == demands.end() ? 0 : known->second);
-    }
-    return m_ownDemands.empty() ? 0 : least;
+    m_ownDemands.note(report, now);
 }
 
 demand_view fleet_members::ownDemand(const customer_id& customer) const
@@ -335,7 +317,7 @@
 {
     auto view = ownDemand(customer);
     // Present demand over an older sum: while a customer's demand rises, all parts would sum to more than the whole.
-    view.own = std::max(leastOwnDemand(customer), leastCountedPart * view.own);
+    view.own = std::max(m_ownDemands.leastOf(customer), leastCountedPart * view.own);
     double admitted = 0;
     std::size_t heard = 0;
     for (const auto& sum : m_digests.freshSums(now)) {
--- a/src/flamingoroute/fleet/fleet_members.hpp
+++ b/src/flamingoroute/fleet/fleet_members.hpp
@@ -1,13 +1,13 @@
 #ifndef FLAMINGOROUTE_FLEET_FLEET_MEMBERS_HPP
 #define FLAMINGOROUTE_FLEET_FLEET_MEMBERS_HPP
 
+#include "flamingoroute/fleet/demand_history.hpp"
 #include "flamingoroute/fleet/digest_book.hpp"
 #include "flamingoroute/fleet/fleet_report.hpp"
 #include "flamingoroute/fleet/rate_split.hpp"
 #include "flamingoroute/model/member.hpp"
 #include "flamingoroute/model/monotonic_time.hpp"
 
-#include <deque>
 #include <map>
 #include <vector>
 
@@ -105,12 +105,11 @@
     bool isReporting(const other_member& which, monotonic_time now) const;
     std::vector<instance_id> relayNames(monotonic_time now) const;
     demand_view ownDemand(const customer_id& customer) const;
-    double leastOwnDemand(const customer_id& customer) const;
     demand_view demandOfDigests(const customer_id& customer, monotonic_time now) const;
 
     member m_self;
     fleet_report m_ownReport;
-    std::deque<std::pair<monotonic_time, std::map<customer_id, double>>> m_ownDemands; ///< as reported lately
+    demand_history m_ownDemands;
     digest_book m_digests;
     bool m_isSelfReady = false;
     std::map<instance_id, other_member> m_others;
--- a/src/flamingoroute/serving/upstream_selector.cpp
+++ b/src/flamingoroute/serving/upstream_selector.cpp
@@ -8,6 +8,12 @@
 
 namespace flamingoroute {
 
+/// What each region has of the upstreams that a request may go to, and which part of the requests it runs.
+struct region_plan {
+    std::map<region_id, region_room> rooms;
+    std::map<region_id, double> shares;
+};
+
 namespace {
 
 /// With objects at hand, the work of a well used service fills about this part of all slots.
@@ -25,6 +31,14 @@
     return rooms;
 }
 
+region_plan planFor(const std::vector<const upstream_state*>& upstreams, const node_settings& settings)
+{
+    region_plan plan;
+    plan.rooms = roomsOf(upstreams, settings.regions);
+    plan.shares = regionShares(plan.rooms, settings.region, expectedLoad);
+    return plan;
+}
+
 template <typename Test>
 std::vector<const upstream_state*> keepIf(const std::vector<const upstream_state*>& upstreams, Test test)
 {
@@ -85,13 +99,12 @@
     return allowed;
 }
 
-void upstream_selector::limitShift(
-    std::vector<const upstream_state*>& upstreams, const selection_query& query, monotonic_time now) const
+void upstream_selector::limitShift(std::vector<const upstream_state*>& upstreams, const region_plan& plan,
+    const selection_query& query, monotonic_time now) const
 {
     const auto& own = m_state.settings.region;
-    const auto shares = regionShares(roomsOf(upstreams, m_state.settings.regions), own, expectedLoad);
-    const auto kept = shares.find(own);
-    const double planned = kept == shares.end() ? 1 : 1 - kept->second;
+    const auto kept = plan.shares.find(own);
+    const double planned = kept == plan.shares.end() ? 1 : 1 - kept->second;
     if (!m_state.shifts.mayLeave(planned, now)) {
         prefer(upstreams, [&](const upstream_state* upstream) { return upstream->region == own; });
     } else if (m_state.shifts.shouldLeave(now)) {
@@ -102,18 +115,17 @@
     }
 }
 
-std::vector<placement_candidate> upstream_selector::candidatesOf(
-    const std::vector<const upstream_state*>& upstreams, const selection_query& query, monotonic_time now) const
+std::vector<placement_candidate> upstream_selector::candidatesOf(const std::vector<const upstream_state*>& upstreams,
+    const region_plan& plan, const selection_query& query, monotonic_time now) const
 {
-    const auto rooms = roomsOf(upstreams, m_state.settings.regions);
-    const auto shares = regionShares(rooms, m_state.settings.region, expectedLoad);
     std::vector<placement_candidate> candidates;
     candidates.reserve(upstreams.size());
     for (const auto* upstream : upstreams) {
         placement_candidate candidate;
         candidate.name = upstream->listed.name;
         candidate.slots = upstream->listed.slots;
-        candidate.weight = shares.at(upstream->region) * upstream->listed.slots / rooms.at(upstream->region).slots;
+        candidate.weight
+            = plan.shares.at(upstream->region) * upstream->listed.slots / plan.rooms.at(upstream->region).slots;
         candidate.load = estimatedLoad(*upstream, now);
         candidate.slowness = currentSlowness(*upstream, now) * (now < upstream->coldUntil ? coldSlowness : 1);
         candidate.failureShare = currentFailureShare(*upstream, now);
@@ -130,8 +142,12 @@
     auto allowed = allowedUpstreams(query, now);
     if (allowed.empty())
         return result;
-    limitShift(allowed, query, now);
-    const auto candidates = candidatesOf(allowed, query, now);
+    auto plan = planFor(allowed, m_state.settings);
+    const auto allowedCount = allowed.size();
+    limitShift(allowed, plan, query, now);
+    if (allowed.size() != allowedCount)
+        plan = planFor(allowed, m_state.settings);
+    const auto candidates = candidatesOf(allowed, plan, query, now);
     const auto times = m_state.times.of(*query.rule);
     placement_request request;
     request.objectHash = query.objectHash;
--- a/src/flamingoroute/serving/upstream_selector.hpp
+++ b/src/flamingoroute/serving/upstream_selector.hpp
@@ -13,6 +13,7 @@
 
 struct placement_candidate;
 struct placement_request;
+struct region_plan;
 struct routing_rule;
 struct serving_state;
 struct upstream_state;
@@ -59,10 +60,10 @@
         monotonic_time now) const;
     bool passesColdGate(const upstream_state& upstream, const selection_query& query, monotonic_time now) const;
     std::vector<const upstream_state*> allowedUpstreams(const selection_query& query, monotonic_time now) const;
-    void limitShift(
-        std::vector<const upstream_state*>& upstreams, const selection_query& query, monotonic_time now) const;
-    std::vector<placement_candidate> candidatesOf(
-        const std::vector<const upstream_state*>& upstreams, const selection_query& query, monotonic_time now) const;
+    void limitShift(std::vector<const upstream_state*>& upstreams, const region_plan& plan,
+        const selection_query& query, monotonic_time now) const;
+    std::vector<placement_candidate> candidatesOf(const std::vector<const upstream_state*>& upstreams,
+        const region_plan& plan, const selection_query& query, monotonic_time now) const;
 
     serving_state& m_state;
 };
--- a/tests/integration/platform_node_test.cpp
+++ b/tests/integration/platform_node_test.cpp
@@ -34,13 +34,6 @@
         + R"(","zone":"centro-a","version":"v1","slots":4,"state":"ready","cold_remaining":"0ms","sequence":1,"born":7})";
 }
 
-std::string idIn(const std::string& request)
-{
-    const std::string label = "\r\nX-Flamingoroute-Request-Id: ";
-    const auto start = request.find(label) + label.size();
-    return request.substr(start, request.find("\r\n", start) - start);
-}
-
 void answerAll(raw_upstream& self, Poco::Net::StreamSocket& connection, int)
 {
     for (auto request = self.readRequest(connection); !request.empty(); request = self.readRequest(connection)) {
@@ -49,7 +42,7 @@
             return;
         }
         raw_upstream::send(connection,
-            "HTTP/1.1 200 OK\r\nX-Flamingoroute-Request-Id: " + idIn(request)
+            "HTTP/1.1 200 OK\r\nX-Flamingoroute-Request-Id: " + headerIn(request, "X-Flamingoroute-Request-Id")
                 + "\r\nX-Flamingoroute-Response-Signature: s\r\nContent-Length: 4\r\n\r\ndone");
     }
 }
--- a/tests/support/process/raw_upstream.cpp
+++ b/tests/support/process/raw_upstream.cpp
@@ -96,6 +96,16 @@
     }
 }
 
+std::string headerIn(const std::string& request, const std::string& name)
+{
+    const std::string label = "\r\n" + name + ": ";
+    const auto at = request.find(label);
+    if (at == std::string::npos)
+        return {};
+    const auto start = at + label.size();
+    return request.substr(start, request.find("\r\n", start) - start);
+}
+
 std::string sizedAnswer(const std::string& body, const std::string& extraHeaders)
 {
     return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" + extraHeaders + "\r\n" + body;
--- a/tests/support/process/raw_upstream.hpp
+++ b/tests/support/process/raw_upstream.hpp
@@ -54,6 +54,9 @@
     std::thread m_acceptor;
 };
 
+/// @return the value of a header of @p request as readRequest() gives it; empty if there is none
+std::string headerIn(const std::string& request, const std::string& name);
+
 /// @return an HTTP answer with a Content-Length
 std::string sizedAnswer(const std::string& body, const std::string& extraHeaders = "");
 
--- a/tests/unit/serving/serving_fixture.cpp
+++ b/tests/unit/serving/serving_fixture.cpp
@@ -130,16 +130,6 @@
     std::this_thread::sleep_until(until);
 }
 
-std::string headerIn(const std::string& request, const std::string& name)
-{
-    const std::string label = "\r\n" + name + ": ";
-    const auto at = request.find(label);
-    if (at == std::string::npos)
-        return {};
-    const auto start = at + label.size();
-    return request.substr(start, request.find("\r\n", start) - start);
-}
-
 std::string signedAnswer(const std::string& request, const std::string& status, const std::string& extraHeaders)
 {
     return "HTTP/1.1 " + status + "\r\nX-Request: " + headerIn(request, "X-Request") + "\r\nX-Signature: s\r\n"
