--- a/src/flamingoroute/model/registered_upstream.hpp
+++ b/src/flamingoroute/model/registered_upstream.hpp
@@ -13,6 +13,7 @@
 struct registered_upstream {
     upstream_id name;
     std::uint64_t startedAtMs = 0; ///< by the upstream's wall clock; distinguishes two starts under one name
+    std::uint64_t sequence = 0; ///< of the heartbeat that wrote the entry; counts from the start on
     service_id service;
     version_id version;
     failure_domain_id failureDomain;
--- a/src/flamingoroute/placement/attempt_report.hpp
+++ b/src/flamingoroute/placement/attempt_report.hpp
@@ -33,7 +33,6 @@
     std::optional<reported_load> load;
     std::optional<milliseconds> remainingColdTime; ///< remaining time as a cold upstream, if the answer reports it
     double timeRatio = 0; ///< elapsed time divided by the time expected of a healthy upstream; 0: unknown
-    bool isLeaving = false; ///< the upstream closes its connections; neither set nor read at present
 };
 
 } // namespace flamingoroute
--- a/src/flamingoroute/placement/upstream_directory.cpp
+++ b/src/flamingoroute/placement/upstream_directory.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace flamingoroute {
 
@@ -165,6 +166,14 @@
     }
 }
 
+bool upstream_directory::recordLeaving(const upstream_id& name, std::uint64_t startedAtMs)
+{
+    const auto known = m_upstreams.find(name);
+    if (known == m_upstreams.end() || known->second.registration.startedAtMs != startedAtMs)
+        return false;
+    return !std::exchange(known->second.isLeaving, true);
+}
+
 const upstream_state* upstream_directory::find(const upstream_id& name) const
 {
     const auto known = m_upstreams.find(name);
--- a/src/flamingoroute/placement/upstream_directory.hpp
+++ b/src/flamingoroute/placement/upstream_directory.hpp
@@ -31,6 +31,11 @@
     /// @param coldTime of the service: how long an upstream counts as cold after a back-off
     void recordResult(const upstream_id& name, const attempt_report& report, milliseconds coldTime, monotonic_time now);
 
+    /// Records that an answer of the upstream said that it is leaving.
+    /// @param startedAtMs the start of the process that answered; an answer of an earlier process is ignored
+    /// @return whether this is the first such answer
+    bool recordLeaving(const upstream_id& name, std::uint64_t startedAtMs);
+
     /// @return the upstream, or null
     const upstream_state* find(const upstream_id& name) const;
 
--- a/src/flamingoroute/runtime/fleet_watch.cpp
+++ b/src/flamingoroute/runtime/fleet_watch.cpp
@@ -242,6 +242,8 @@
         .with("service", entry->service.value())
         .with("failure_domain", entry->failureDomain.value())
         .with("draining", entry->isDraining ? 1 : 0)
+        .with("started_at_ms", entry->startedAtMs)
+        .with("sequence", entry->sequence)
         .with("revision", object.revision);
 }
 
--- a/src/flamingoroute/serving/request_flow.cpp
+++ b/src/flamingoroute/serving/request_flow.cpp
@@ -200,12 +200,24 @@
         m_state.reportSoon();
 }
 
+void request_flow::recordLeaving()
+{
+    if (!m_state.upstreams.recordLeaving(m_upstream.name, m_upstream.startedAtMs))
+        return;
+    event_line(log_level::info, "upstream.leaving")
+        .with("upstream", m_upstream.name.value())
+        .with("started_at_ms", m_upstream.startedAtMs)
+        .with("request", m_request.id);
+}
+
 void request_flow::onResult(const exchange_result& result)
 {
     const auto interpretation = interpretExchange(result, m_state.headers);
     ++m_state.counters.attempts[toString(interpretation.outcome)];
     updateEstimates(result, interpretation);
     endAttempt(reportOf(result, interpretation));
+    if (interpretation.isUpstreamLeaving)
+        recordLeaving();
     if (m_isDone)
         return;
     const auto now = monotonicNow();
--- a/src/flamingoroute/serving/request_flow.hpp
+++ b/src/flamingoroute/serving/request_flow.hpp
@@ -46,6 +46,7 @@
     void onResult(const exchange_result& result);
     attempt_report reportOf(const exchange_result& result, const upstream_answer& interpretation) const;
     void recordVersionSample(version_sample sample);
+    void recordLeaving();
     double timeRatio() const;
     void updateEstimates(const exchange_result& result, const upstream_answer& interpretation);
     bool takeRetry();
--- a/src/flamingoroute/serving/upstream_answer.cpp
+++ b/src/flamingoroute/serving/upstream_answer.cpp
@@ -11,6 +11,7 @@
 
 constexpr int minServerErrorStatus = 500;
 constexpr int misdirectedStatus = 421;
+constexpr const char* isLeavingValue = "1";
 
 /// @return whether callers conclude from @p status that the request did not run
 bool impliesNotRun(int status)
@@ -34,6 +35,7 @@
         interpretation.verdict = attempt_verdict::misdirected;
         return interpretation;
     }
+    interpretation.isUpstreamLeaving = headerValue(answer.headers, names.leaving) == isLeavingValue;
     if (!headerValue(answer.headers, names.notRun).empty()) {
         interpretation.outcome = attempt_outcome::refused;
         interpretation.verdict = attempt_verdict::shed;
--- a/src/flamingoroute/serving/upstream_answer.hpp
+++ b/src/flamingoroute/serving/upstream_answer.hpp
@@ -13,6 +13,7 @@
     attempt_verdict verdict = attempt_verdict::broken;
     bool isDeliverable = false; ///< the answer may go to the caller as it is
     bool isServerError = false; ///< deliverable, with status 500 or higher
+    bool isUpstreamLeaving = false; ///< the upstream said that it will soon accept no more requests
 };
 
 /// Interprets the result of an attempt. Has no side effects.
