Send nothing to an upstream whose answers say that it is leaving

Cause: the list in the store was the only source; the header of the answer went to the caller unread. Ruled out: queues of our own (a request is sent or refused at once). The first answer that says so excludes the process until it starts again, which needs no store, so it also holds while the instance is cut off.

--- a/src/flamingoroute/placement/upstream_directory.cpp
+++ b/src/flamingoroute/placement/upstream_directory.cpp
@@ -182,7 +182,7 @@
 
 bool upstream_directory::isEligible(const upstream_state& upstream) const
 {
-    return !upstream.registration.isDraining && !upstream.isMisdirected
+    return !upstream.registration.isDraining && !upstream.isLeaving && !upstream.isMisdirected
         && !m_evacuated.contains(upstream.registration.failureDomain);
 }
 
--- a/src/flamingoroute/placement/upstream_directory.hpp
+++ b/src/flamingoroute/placement/upstream_directory.hpp
@@ -39,7 +39,7 @@
     /// @return the upstream, or null
     const upstream_state* find(const upstream_id& name) const;
 
-    /// @return whether the upstream may receive requests at all: not draining, not misdirected, in no evacuated domain
+    /// @return whether the upstream may receive requests at all: not leaving or misdirected, in no evacuated domain
     bool isEligible(const upstream_state& upstream) const;
 
     /// @return the upstreams of @p service, sorted by name, eligible or not
--- a/tests/integration/platform_node_test.cpp
+++ b/tests/integration/platform_node_test.cpp
@@ -137,6 +137,25 @@
     EXPECT_TRUE(waitFor([&] { return node->send("d3", "k1", "GET", "/read/1").status == 200; }));
 }
 
+TEST_F(platform_node_test, sends_nothing_to_an_upstream_that_said_it_is_leaving_while_the_store_is_down)
+{
+    raw_upstream leaving([](raw_upstream& self, Poco::Net::StreamSocket& connection, int) {
+        const auto request = self.readRequest(connection);
+        raw_upstream::send(connection,
+            "HTTP/1.1 200 OK\r\nX-Flamingoroute-Request-Id: " + headerIn(request, "X-Flamingoroute-Request-Id")
+                + "\r\nX-Flamingoroute-Response-Signature: s\r\nServer-Leaving: 1\r\nContent-Length: 4\r\n\r\ndone");
+    });
+    store.put("servers", "u-2", upstreamText(leaving));
+    EXPECT_TRUE(waitFor([&] { return node->log().find("event=upstream.listed upstream=u-2") != std::string::npos; }));
+    store.setDown(true);
+    for (int i = 0; leaving.requestCount() == 0 && i < 100; ++i)
+        node->send("first-" + std::to_string(i), "k1", "GET", "/read/" + std::to_string(i));
+    ASSERT_EQ(leaving.requestCount(), 1);
+    for (int i = 0; i < 40; ++i)
+        EXPECT_EQ(node->send("later-" + std::to_string(i), "k1", "GET", "/read/" + std::to_string(i)).status, 200);
+    EXPECT_EQ(leaving.requestCount(), 1);
+}
+
 TEST_F(platform_node_test, finishes_its_requests_after_sigterm_and_ends_with_exit_code_0)
 {
     std::thread caller([&] { EXPECT_EQ(node->send("e1", "k1", "GET", "/read/1").status, 200); });
--- a/tests/unit/serving/request_flow_test.cpp
+++ b/tests/unit/serving/request_flow_test.cpp
@@ -277,4 +277,22 @@
     }
 }
 
+TEST(request_flow, sends_no_request_to_an_upstream_whose_answer_said_that_it_is_leaving)
+{
+    raw_upstream leaving(answering("200 OK", "X-Leaving: 1\r\n"));
+    raw_upstream other(answering("200 OK"));
+    serving_fixture node;
+    node.addUpstream("u-1", leaving);
+    ASSERT_EQ(node.serve(serving_fixture::readRequest())->status, 200);
+    const int before = leaving.requestCount();
+    EXPECT_EQ(node.serve(serving_fixture::readRequest())->status, 503);
+    node.addUpstream("u-2", other);
+    for (int i = 0; i < 8; ++i) {
+        auto request = serving_fixture::readRequest();
+        request.headers[1].value = "id-" + std::to_string(i);
+        EXPECT_EQ(node.serve(request)->status, 200);
+    }
+    EXPECT_EQ(leaving.requestCount(), before);
+}
+
 } // namespace flamingoroute
