Remember that an upstream is leaving until it starts again

What callers saw: a request reached an upstream after it had said that it was leaving (DRAIN). A heartbeat that the store carries out late puts 'ready' back over 'draining' or re-creates an entry that was removed, and an entry that lapses takes with it what an answer had said. Ruled out: the heartbeat number. Entries change in the store only when more than the number changes, so the last number seen says little about a later one; the start of the process is compared instead. Before: four tests of upstream_directory fail; after: all pass, among them the ones that a process which starts again, or whose entry lapsed and came back, gets requests.

--- a/src/flamingoroute/placement/upstream_directory.cpp
+++ b/src/flamingoroute/placement/upstream_directory.cpp
@@ -19,6 +19,8 @@
 constexpr double newestWeight = 0.2;
 /// Without new attempts, the measured slowness and failure share of an upstream decay with this half-life.
 constexpr microseconds healthHalfLife { 2'500'000 };
+/// Longer than a late write of a heartbeat may take effect after the upstream has left.
+constexpr microseconds rememberRemovedFor { 60'000'000 };
 constexpr double minSlowness = 0.5;
 constexpr double maxSlowness = 20;
 
@@ -88,8 +90,13 @@
 {
 }
 
-void upstream_directory::apply(const registered_upstream& entry, monotonic_time now)
+bool upstream_directory::apply(const registered_upstream& entry, monotonic_time now)
 {
+    const auto lastStart = lastStartOf(entry.name);
+    if (lastStart.startedAtMs > entry.startedAtMs)
+        return false;
+    const bool wasLeaving = lastStart.isLeaving && lastStart.startedAtMs == entry.startedAtMs;
+    m_removed.erase(entry.name);
     auto& known = m_upstreams[entry.name];
     const bool isNewProcess = known.registration.name.empty() || known.registration.startedAtMs != entry.startedAtMs
         || known.registration.address != entry.address;
@@ -100,17 +107,30 @@
         known.lastAnswerAt = now;
     }
     known.registration = entry;
+    known.isLeaving = wasLeaving || entry.isDraining;
     const auto region = m_regions.find(entry.failureDomain);
     known.region = region == m_regions.end() ? region_id() : region->second;
     known.coldUntil = std::max(known.coldUntil, now + microseconds(entry.remainingColdTime));
     m_byService[entry.service].insert(entry.name);
+    return true;
+}
+
+upstream_directory::upstream_start upstream_directory::lastStartOf(const upstream_id& name) const
+{
+    const auto listed = m_upstreams.find(name);
+    if (listed != m_upstreams.end())
+        return { listed->second.registration.startedAtMs, listed->second.isLeaving, {} };
+    const auto removed = m_removed.find(name);
+    return removed == m_removed.end() ? upstream_start {} : removed->second;
 }
 
-void upstream_directory::remove(const upstream_id& name)
+void upstream_directory::remove(const upstream_id& name, monotonic_time now)
 {
     const auto known = m_upstreams.find(name);
     if (known == m_upstreams.end())
         return;
+    std::erase_if(m_removed, [&](const auto& entry) { return now - entry.second.removedAt > rememberRemovedFor; });
+    m_removed[name] = { known->second.registration.startedAtMs, known->second.isLeaving, now };
     m_byService[known->second.registration.service].erase(name);
     m_upstreams.erase(known);
 }
@@ -182,8 +202,7 @@
 
 bool upstream_directory::isEligible(const upstream_state& upstream) const
 {
-    return !upstream.registration.isDraining && !upstream.isLeaving && !upstream.isMisdirected
-        && !m_evacuated.contains(upstream.registration.failureDomain);
+    return !upstream.isLeaving && !upstream.isMisdirected && !m_evacuated.contains(upstream.registration.failureDomain);
 }
 
 std::vector<const upstream_state*> upstream_directory::ofService(const service_id& service) const
--- a/src/flamingoroute/placement/upstream_directory.hpp
+++ b/src/flamingoroute/placement/upstream_directory.hpp
@@ -17,11 +17,13 @@
     /// @param regions region of each failure domain
     explicit upstream_directory(std::map<failure_domain_id, region_id> regions);
 
-    /// Adds or updates a listed upstream. A new start time or address under a known name resets the measured state.
-    void apply(const registered_upstream& entry, monotonic_time now);
+    /// Adds or updates a listed upstream. A new start time or address under a known name resets the measured state. An
+    /// upstream that is leaving remains so until it starts again, whatever later entries of the same start say.
+    /// @return false if the entry was ignored because a later start of the upstream is known
+    bool apply(const registered_upstream& entry, monotonic_time now);
 
     /// Removes an upstream that is no longer listed.
-    void remove(const upstream_id& name);
+    void remove(const upstream_id& name, monotonic_time now);
 
     /// Sets the failure domains whose upstreams receive no requests.
     /// @param coldTime how long an upstream counts as cold after the evacuation of its domain ends
@@ -48,8 +50,18 @@
     const std::map<upstream_id, upstream_state>& all() const { return m_upstreams; }
 
 private:
+    /// The last known start of an upstream, kept for some time after its entry was removed.
+    struct upstream_start {
+        std::uint64_t startedAtMs = 0;
+        bool isLeaving = false;
+        monotonic_time removedAt;
+    };
+
+    upstream_start lastStartOf(const upstream_id& name) const;
+
     std::map<failure_domain_id, region_id> m_regions;
     std::map<upstream_id, upstream_state> m_upstreams;
+    std::map<upstream_id, upstream_start> m_removed;
     std::map<service_id, std::set<upstream_id>> m_byService;
     std::set<failure_domain_id> m_evacuated;
 };
--- a/src/flamingoroute/placement/upstream_state.hpp
+++ b/src/flamingoroute/placement/upstream_state.hpp
@@ -20,7 +20,7 @@
     double slowness = 1; ///< time per request divided by the expected time, as of healthUpdatedAt
     monotonic_time healthUpdatedAt;
     monotonic_time lastAnswerAt;
-    bool isLeaving = false; ///< its answers say that it will soon accept no more requests
+    bool isLeaving = false; ///< its entry or an answer said that it will soon accept no more requests
     bool isMisdirected = false; ///< its address answered that it belongs to another upstream
 
     bool operator==(const upstream_state&) const = default;
--- a/src/flamingoroute/runtime/fleet_watch.cpp
+++ b/src/flamingoroute/runtime/fleet_watch.cpp
@@ -230,18 +230,19 @@
     const auto entry = m_port.readUpstream(object);
     if (!entry) {
         // An unreadable entry removes the upstream, even if an earlier entry was readable.
-        m_state.upstreams.remove(upstream_id(object.name));
+        m_state.upstreams.remove(upstream_id(object.name), monotonicNow());
         logUnreadable(object, entry.error());
         return;
     }
     const auto now = monotonicNow();
-    m_state.upstreams.apply(*entry, now);
+    const bool isApplied = m_state.upstreams.apply(*entry, now);
     m_state.versions.recordVersion(entry->service, entry->version, isFirstList, now);
     event_line(level, "upstream.listed")
         .with("upstream", object.name)
         .with("service", entry->service.value())
         .with("failure_domain", entry->failureDomain.value())
         .with("draining", entry->isDraining ? 1 : 0)
+        .with("outdated", isApplied ? 0 : 1)
         .with("started_at_ms", entry->startedAtMs)
         .with("sequence", entry->sequence)
         .with("revision", object.revision);
@@ -260,7 +261,7 @@
         applyUpstream(event.object, false);
         return;
     }
-    m_state.upstreams.remove(upstream_id(event.object.name));
+    m_state.upstreams.remove(upstream_id(event.object.name), monotonicNow());
     event_line(log_level::info, "upstream.gone").with("upstream", event.object.name);
 }
 
--- a/tests/unit/placement/upstream_directory_test.cpp
+++ b/tests/unit/placement/upstream_directory_test.cpp
@@ -24,6 +24,21 @@
     return entry;
 }
 
+registered_upstream drainingEntry(std::uint64_t sequence)
+{
+    auto entry = entryOf();
+    entry.sequence = sequence;
+    entry.isDraining = true;
+    return entry;
+}
+
+registered_upstream readyEntry(std::uint64_t sequence)
+{
+    auto entry = drainingEntry(sequence);
+    entry.isDraining = false;
+    return entry;
+}
+
 upstream_directory directoryWithOne()
 {
     upstream_directory directory({ { domain, region_id("guate-centro") } });
@@ -130,8 +145,76 @@
     auto directory = directoryWithOne();
     EXPECT_EQ(directory.ofService(service_id("mostrador")).size(), 1U);
     EXPECT_TRUE(directory.ofService(service_id("bodega")).empty());
-    directory.remove(directory.all().begin()->first);
+    directory.remove(directory.all().begin()->first, at(10));
     EXPECT_TRUE(directory.ofService(service_id("mostrador")).empty());
 }
 
+TEST(upstream_directory, gives_nothing_to_a_draining_upstream_whose_earlier_heartbeat_is_written_late)
+{
+    auto directory = directoryWithOne();
+    directory.apply(drainingEntry(9), at(10));
+    directory.apply(readyEntry(8), at(20));
+    EXPECT_FALSE(directory.isEligible(*directory.find(name)));
+}
+
+TEST(upstream_directory, gives_nothing_to_an_upstream_that_drained_and_is_listed_again_by_a_late_heartbeat)
+{
+    auto directory = directoryWithOne();
+    directory.apply(drainingEntry(9), at(10));
+    directory.remove(name, at(3000));
+    directory.apply(readyEntry(8), at(5000));
+    const auto* known = directory.find(name);
+    EXPECT_TRUE(known == nullptr || !directory.isEligible(*known));
+}
+
+TEST(upstream_directory, gives_nothing_to_an_upstream_that_said_it_is_leaving_after_its_entry_lapsed_and_came_back)
+{
+    auto directory = directoryWithOne();
+    directory.apply(readyEntry(3), at(5));
+    EXPECT_TRUE(directory.recordLeaving(name, 1));
+    directory.remove(name, at(10));
+    directory.apply(readyEntry(7), at(2000));
+    const auto* known = directory.find(name);
+    EXPECT_TRUE(known == nullptr || !directory.isEligible(*known));
+}
+
+TEST(upstream_directory, gives_nothing_by_a_late_heartbeat_of_an_earlier_start_to_an_upstream_that_leaves)
+{
+    upstream_directory directory({ { domain, region_id("guate-centro") } });
+    auto second = drainingEntry(2);
+    second.startedAtMs = 5;
+    directory.apply(second, at(0));
+    directory.apply(readyEntry(40), at(10));
+    EXPECT_FALSE(directory.isEligible(*directory.find(name)));
+}
+
+TEST(upstream_directory, uses_an_upstream_whose_entry_lapsed_and_came_back_by_a_newer_heartbeat)
+{
+    auto directory = directoryWithOne();
+    directory.apply(readyEntry(3), at(5));
+    directory.remove(name, at(10));
+    directory.apply(readyEntry(4), at(2000));
+    ASSERT_NE(directory.find(name), nullptr);
+    EXPECT_TRUE(directory.isEligible(*directory.find(name)));
+}
+
+TEST(upstream_directory, uses_an_upstream_that_starts_again_after_it_left)
+{
+    auto directory = directoryWithOne();
+    directory.apply(drainingEntry(9), at(10));
+    directory.remove(name, at(3000));
+    auto restarted = readyEntry(1);
+    restarted.startedAtMs = 2;
+    directory.apply(restarted, at(4000));
+    EXPECT_TRUE(directory.isEligible(*directory.find(name)));
+}
+
+TEST(upstream_directory, ignores_that_the_previous_process_of_an_upstream_said_it_was_leaving)
+{
+    auto directory = directoryWithOne();
+    directory.apply(entryOf(2), at(10));
+    EXPECT_FALSE(directory.recordLeaving(name, 1));
+    EXPECT_TRUE(directory.isEligible(*directory.find(name)));
+}
+
 } // namespace flamingoroute
