--- a/src/flamingoroute/moves/version_gate.cpp
+++ b/src/flamingoroute/moves/version_gate.cpp
@@ -195,6 +195,12 @@
     }
 }
 
+version_tally version_gate::evidenceOf(const service_id& service) const
+{
+    const auto existing = m_orders.find(service);
+    return existing == m_orders.end() ? version_tally {} : existing->second.fleet;
+}
+
 std::vector<version_order> version_gate::dueStates(std::size_t rank, monotonic_time now) const
 {
     std::vector<version_order> due;
--- a/src/flamingoroute/moves/version_gate.hpp
+++ b/src/flamingoroute/moves/version_gate.hpp
@@ -62,6 +62,9 @@
     /// applies, so that an instance that has just started uses the fleet's schedule.
     void judge(const std::vector<version_tally>& others, monotonic_time now);
 
+    /// @return the fleet's counts that the running order of @p service was last evaluated by
+    version_tally evidenceOf(const service_id& service) const;
+
     /// @param rank of this instance among the reachable ones; the first one writes that an order is completed,
     ///        each next one some time later. A bad version is rolled back by any instance at once.
     /// @return orders whose state in the store should become the returned one
--- a/src/flamingoroute/runtime/serving_node.cpp
+++ b/src/flamingoroute/runtime/serving_node.cpp
@@ -165,10 +165,16 @@
         if (now - last < orderWriteRetry)
             continue;
         last = now;
+        const auto evidence = m_state.versions.evidenceOf(order.service);
         event_line(log_level::info, "version_order.decided")
             .with("service", order.service.value())
             .with("target", order.target.value())
             .with("state", toString(order.state))
+            .with("attempts", evidence.attempts)
+            .with("failures", evidence.failures)
+            .with("slow", evidence.slow)
+            .with("other_attempts", evidence.otherAttempts)
+            .with("other_failures", evidence.otherFailures)
             .with("revision", order.revision);
         m_store.putStatus(m_port.versionOrderKind, order.service.value(), m_port.encodeVersionOrderStatus(order),
             order.revision, [](const auto& written) {
