Compare a version's failures separately from lost connections

Cause: an attempt that a network fault broke counted as a failure of its version. Most attempts go to the other versions, so the cut raised their share, and a bad version had to fail three times as often as that. Logged counts of the unchanged code: other_failures=115 of 2640, so 20 failures in 109 attempts were just enough, at the deadline. Fix: failures, slow answers and lost connections are compared each with its own kind; attempts that could not connect show nothing about a version. Evidence: the new test of request_flow fails before (no state due) and passes after.

--- a/src/flamingoroute/fleet/fleet_members.cpp
+++ b/src/flamingoroute/fleet/fleet_members.cpp
@@ -44,12 +44,7 @@
             totals.push_back(part);
             continue;
         }
-        known->attempts += part.attempts;
-        known->failures += part.failures;
-        known->slow += part.slow;
-        known->otherAttempts += part.otherAttempts;
-        known->otherFailures += part.otherFailures;
-        known->ageMs = std::max(known->ageMs, part.ageMs);
+        known->add(part);
     }
 }
 
@@ -282,13 +277,8 @@
     // The sum of the own region includes the reports of this instance.
     for (auto& tally : result) {
         for (const auto& own : m_localReport.tallies) {
-            if (own.service != tally.service || own.version != tally.version)
-                continue;
-            tally.attempts -= std::min(tally.attempts, own.attempts);
-            tally.failures -= std::min(tally.failures, own.failures);
-            tally.slow -= std::min(tally.slow, own.slow);
-            tally.otherAttempts -= std::min(tally.otherAttempts, own.otherAttempts);
-            tally.otherFailures -= std::min(tally.otherFailures, own.otherFailures);
+            if (own.service == tally.service && own.version == tally.version)
+                tally.subtract(own);
         }
     }
     return result;
--- /dev/null
+++ b/src/flamingoroute/fleet/version_tally.cpp
@@ -0,0 +1,31 @@
+#include "flamingoroute/fleet/version_tally.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace flamingoroute {
+
+namespace {
+
+using count_field = std::uint32_t version_tally::*;
+
+constexpr std::array<count_field, 7> countFields { &version_tally::attempts, &version_tally::failures,
+    &version_tally::slow, &version_tally::broken, &version_tally::otherAttempts, &version_tally::otherFailures,
+    &version_tally::otherBroken };
+
+} // namespace
+
+void version_tally::add(const version_tally& part)
+{
+    for (const auto field : countFields)
+        this->*field += part.*field;
+    ageMs = std::max(ageMs, part.ageMs);
+}
+
+void version_tally::subtract(const version_tally& part)
+{
+    for (const auto field : countFields)
+        this->*field -= std::min(this->*field, part.*field);
+}
+
+} // namespace flamingoroute
--- /dev/null
+++ b/src/flamingoroute/moves/version_comparison.cpp
@@ -0,0 +1,46 @@
+#include "flamingoroute/moves/version_comparison.hpp"
+
+#include "flamingoroute/fleet/version_tally.hpp"
+
+#include <algorithm>
+
+namespace flamingoroute {
+
+namespace {
+
+/// How a share of attempts must exceed that of the other versions for a version to be bad.
+struct share_limits {
+    std::uint32_t minCount = 0;
+    double factor = 0; ///< of the other versions' share
+    double margin = 0; ///< added to it
+};
+
+constexpr share_limits failureLimits { 3, 3.0, 0.04 };
+constexpr share_limits slowLimits { 4, 0.0, 0.2 };
+/// Lost connections come in bursts that hit one version more than the other by chance.
+constexpr share_limits brokenLimits { 4, 3.0, 0.2 };
+
+double shareOf(std::uint32_t count, std::uint32_t attempts)
+{
+    return static_cast<double>(count) / std::max(1.0, static_cast<double>(attempts));
+}
+
+bool exceeds(double share, double otherShare, std::uint32_t count, const share_limits& limits)
+{
+    return count >= limits.minCount && share >= limits.factor * otherShare + limits.margin;
+}
+
+} // namespace
+
+bool isVersionBad(const version_tally& counts)
+{
+    const double failed = shareOf(counts.failures, counts.attempts);
+    const double otherFailed = shareOf(counts.otherFailures, counts.otherAttempts);
+    const double slow = shareOf(counts.slow, counts.attempts);
+    const double broken = shareOf(counts.broken, counts.attempts);
+    const double otherBroken = shareOf(counts.otherBroken, counts.otherAttempts);
+    return exceeds(failed, otherFailed, counts.failures, failureLimits) || exceeds(slow, 0, counts.slow, slowLimits)
+        || exceeds(broken, otherBroken, counts.broken, brokenLimits);
+}
+
+} // namespace flamingoroute
--- a/src/flamingoroute/moves/version_gate.cpp
+++ b/src/flamingoroute/moves/version_gate.cpp
@@ -1,5 +1,6 @@
 #include "flamingoroute/moves/version_gate.hpp"
 
+#include "flamingoroute/moves/version_comparison.hpp"
 #include "flamingoroute/steering/internal/hash64.hpp"
 
 #include <algorithm>
@@ -23,12 +24,6 @@
 /// An order arrives at most this long after its upstreams; a version without an order is used after that.
 constexpr microseconds maxOrderWait { 3'000'000 };
 
-constexpr std::uint32_t minFailuresToJudge = 3;
-/// Failure share of a bad version: this factor times the share of the service's other versions, plus the margin.
-constexpr double failureFactor = 3.0;
-constexpr double failureMargin = 0.04;
-constexpr std::uint32_t minSlowToJudge = 4;
-constexpr double slowShareThreshold = 0.2;
 constexpr std::uint32_t minAttemptsToComplete = 10;
 
 constexpr double microsecondsPerSecond = 1e6;
@@ -139,11 +134,13 @@
     if (existing->second.order.target != version) {
         ++local.otherAttempts;
         local.otherFailures += sample == version_sample::failed ? 1 : 0;
+        local.otherBroken += sample == version_sample::broken ? 1 : 0;
         return false;
     }
     ++local.attempts;
     local.failures += sample == version_sample::failed ? 1 : 0;
     local.slow += sample == version_sample::slow ? 1 : 0;
+    local.broken += sample == version_sample::broken ? 1 : 0;
     return sample != version_sample::good;
 }
 
@@ -161,16 +158,6 @@
     return result;
 }
 
-bool version_gate::isBad(const version_tally& counts)
-{
-    const double attempts = std::max(1U, counts.attempts);
-    const double baseline = counts.otherFailures / std::max(1.0, static_cast<double>(counts.otherAttempts));
-    const double threshold = failureFactor * baseline + failureMargin;
-    const bool fails = counts.failures >= minFailuresToJudge && counts.failures / attempts >= threshold;
-    const bool isSlow = counts.slow >= minSlowToJudge && counts.slow / attempts >= slowShareThreshold;
-    return fails || isSlow;
-}
-
 std::uint64_t version_gate::ageOf(const running_order& running, monotonic_time now)
 {
     const auto age = std::chrono::duration_cast<milliseconds>(now - running.startedAt);
@@ -185,13 +172,9 @@
             if (other.service != service.value() || other.version != running.order.target.value())
                 continue;
             running.startedAt = std::min<monotonic_time>(running.startedAt, now - milliseconds(other.ageMs));
-            running.fleet.attempts += other.attempts;
-            running.fleet.failures += other.failures;
-            running.fleet.slow += other.slow;
-            running.fleet.otherAttempts += other.otherAttempts;
-            running.fleet.otherFailures += other.otherFailures;
+            running.fleet.add(other);
         }
-        running.isBad = running.isBad || isBad(running.fleet);
+        running.isBad = running.isBad || isVersionBad(running.fleet);
     }
 }
 
--- a/src/flamingoroute/moves/version_gate.hpp
+++ b/src/flamingoroute/moves/version_gate.hpp
@@ -3,6 +3,7 @@
 
 #include "flamingoroute/fleet/version_tally.hpp"
 #include "flamingoroute/model/version_order.hpp"
+#include "flamingoroute/moves/version_sample.hpp"
 
 #include <cstdint>
 #include <map>
@@ -21,13 +22,6 @@
     bool operator==(const version_filter&) const = default;
 };
 
-/// The outcome of one attempt at an upstream, for the verdict on its version.
-enum class version_sample {
-    good,
-    failed,
-    slow,
-};
-
 /// Rolls out the versions of operators' orders, with a small share of the requests at first, and evaluates them. Pure:
 /// no I/O, clocks or threads.
 ///
@@ -52,7 +46,7 @@
     version_filter filterFor(const service_id& service, std::uint64_t requestHash, monotonic_time now) const;
 
     /// Counts an attempt if its service has a running order.
-    /// @return whether the ordered version failed or was slow, so that the tallies should be sent to the others soon
+    /// @return whether the sample is against the ordered version, so that the tallies should be sent to the others soon
     bool recordAttempt(const service_id& service, const version_id& version, version_sample sample);
 
     /// @return the counts of this instance, with the age of each running order as known here
@@ -81,7 +75,6 @@
 
     bool isSwitchDue(const running_order& running, monotonic_time now) const;
     static std::uint64_t ageOf(const running_order& running, monotonic_time now);
-    static bool isBad(const version_tally& counts);
     microseconds trialTime(const running_order& running, monotonic_time now) const;
 
     double m_exposureShare;
--- a/src/flamingoroute/serving/request_flow.cpp
+++ b/src/flamingoroute/serving/request_flow.cpp
@@ -7,6 +7,7 @@
 #include "flamingoroute/serving/request_admission.hpp"
 #include "flamingoroute/serving/serving_state.hpp"
 #include "flamingoroute/serving/upstream_answer.hpp"
+#include "flamingoroute/serving/version_sampling.hpp"
 #include "flamingoroute/steering/internal/hash64.hpp"
 
 #include <algorithm>
@@ -27,8 +28,6 @@
 /// An upstream without any answer for longer than this multiple of the expected time counts as unresponsive.
 constexpr int unresponsiveFactor = 3;
 constexpr milliseconds unresponsiveCheckInterval { 200 };
-/// An answer that takes longer than this multiple of the time for a cold object counts as slow.
-constexpr double slowFactor = 3.0;
 constexpr milliseconds retryAfterWithoutUpstream { 300 };
 /// One in this many requests answered at the first try is logged at info level, the others at debug level. The sample
 /// depends on the request id, so it is the same on each run.
@@ -183,19 +182,20 @@
         = interpretation.verdict == attempt_verdict::served && m_chosen.wait == microseconds(0) && !m_chosen.isCold;
     if (isTypical)
         m_state.times.update(*m_request.rule, taken, m_chosen.isKnownWarm || !m_request.rule->isSticky);
+    recordVersionSample({ interpretation.verdict, coldRatioOf(taken) });
+}
+
+double request_flow::coldRatioOf(microseconds taken) const
+{
     const auto cold = m_state.times.of(*m_request.rule).cold;
-    const bool isSlow = static_cast<double>(taken.count()) > slowFactor * static_cast<double>(cold.count());
-    const bool isCounted
-        = interpretation.verdict != attempt_verdict::shed && interpretation.verdict != attempt_verdict::misdirected;
-    if (!isCounted)
-        return;
-    const bool isFailed = interpretation.verdict != attempt_verdict::served;
-    recordVersionSample(isFailed ? version_sample::failed : (isSlow ? version_sample::slow : version_sample::good));
+    return static_cast<double>(taken.count()) / static_cast<double>(std::max<std::int64_t>(1, cold.count()));
 }
 
-void request_flow::recordVersionSample(version_sample sample)
+void request_flow::recordVersionSample(const attempt_evidence& evidence)
 {
-    const bool isAgainstVersion = m_state.versions.recordAttempt(m_request.query.service, m_upstream.version, sample);
+    const auto sample = versionSampleOf(evidence);
+    const bool isAgainstVersion
+        = sample && m_state.versions.recordAttempt(m_request.query.service, m_upstream.version, *sample);
     if (isAgainstVersion && m_state.reportSoon)
         m_state.reportSoon();
 }
@@ -332,8 +332,7 @@
         report.verdict = verdict == attempt_verdict::abandoned ? attempt_verdict::timed_out : verdict;
         report.timeRatio = ratio;
     }
-    if (ratio > slowFactor)
-        recordVersionSample(version_sample::slow);
+    recordVersionSample({ attempt_verdict::abandoned, ratio });
     endAttempt(report);
 }
 
--- a/src/flamingoroute/serving/request_flow.hpp
+++ b/src/flamingoroute/serving/request_flow.hpp
@@ -18,11 +18,11 @@
 namespace flamingoroute {
 
 class client_connection;
+struct attempt_evidence;
 struct exchange_result;
 struct local_refusal;
 struct serving_state;
 struct upstream_answer;
-enum class version_sample;
 
 /// Handles one request of a caller from its arrival to its answer: admission, attempts, retries, deadline.
 class request_flow : public std::enable_shared_from_this<request_flow> {
@@ -45,7 +45,8 @@
     http_request upstreamRequest(const registered_upstream& upstream) const;
     void onResult(const exchange_result& result);
     attempt_report reportOf(const exchange_result& result, const upstream_answer& interpretation) const;
-    void recordVersionSample(version_sample sample);
+    double coldRatioOf(microseconds taken) const;
+    void recordVersionSample(const attempt_evidence& evidence);
     void recordLeaving();
     double timeRatio() const;
     void updateEstimates(const exchange_result& result, const upstream_answer& interpretation);
--- /dev/null
+++ b/src/flamingoroute/serving/version_sampling.hpp
@@ -0,0 +1,24 @@
+#ifndef FLAMINGOROUTE_SERVING_VERSION_SAMPLING_HPP
+#define FLAMINGOROUTE_SERVING_VERSION_SAMPLING_HPP
+
+#include "flamingoroute/moves/version_sample.hpp"
+#include "flamingoroute/placement/attempt_report.hpp"
+
+#include <optional>
+
+namespace flamingoroute {
+
+/// What an attempt shows about its upstream's version.
+struct attempt_evidence {
+    attempt_verdict verdict = attempt_verdict::served;
+    double coldRatio = 0; ///< elapsed time divided by the time that a healthy upstream takes for an uncached object
+
+    bool operator==(const attempt_evidence&) const = default;
+};
+
+/// @return the sample for the verdict on the version; empty if the attempt shows nothing about it
+std::optional<version_sample> versionSampleOf(const attempt_evidence& evidence);
+
+} // namespace flamingoroute
+
+#endif
--- a/tests/unit/serving/request_flow_test.cpp
+++ b/tests/unit/serving/request_flow_test.cpp
@@ -34,6 +34,26 @@
     self.waitForClose(connection);
 }
 
+version_order orderOf(const version_id& target)
+{
+    version_order order;
+    order.service = service_id("mostrador");
+    order.target = target;
+    order.duration = milliseconds(60'000);
+    order.isStateWritten = true;
+    return order;
+}
+
+/// Serves @p count read requests for different objects.
+void serveReads(serving_fixture& node, int count)
+{
+    for (int i = 0; i < count; ++i) {
+        auto request = serving_fixture::readRequest();
+        request.target += "-" + std::to_string(i);
+        ASSERT_TRUE(node.serve(request));
+    }
+}
+
 http_request without(http_request request, const std::string& header)
 {
     std::erase_if(request.headers, [&](const http_header& one) { return one.name == header; });
@@ -295,4 +315,21 @@
     EXPECT_EQ(leaving.requestCount(), before);
 }
 
+TEST(request_flow, finds_a_version_bad_that_answers_with_failures_while_connections_to_the_other_version_break)
+{
+    raw_upstream cut(closeWithoutAnswer);
+    raw_upstream bad(answering("500 Internal Server Error"));
+    serving_fixture node;
+    node.state.versions.recordOrder(orderOf(version_id("v2")), monotonicNow());
+    node.addUpstream("u-1", cut);
+    serveReads(node, 20);
+    node.state.upstreams.remove(upstream_id("u-1"), monotonicNow());
+    node.addUpstream("u-2", bad, "centro-a", "v2");
+    serveReads(node, 10);
+    node.state.versions.judge({}, monotonicNow());
+    const auto due = node.state.versions.dueStates(0, monotonicNow());
+    ASSERT_EQ(due.size(), 1U);
+    EXPECT_EQ(due.front().state, version_order_state::rolled_back);
+}
+
 } // namespace flamingoroute
--- a/tests/unit/serving/serving_fixture.cpp
+++ b/tests/unit/serving/serving_fixture.cpp
@@ -78,12 +78,13 @@
 
 void serving_fixture::apply() { state.table = std::make_shared<const routing_table>(configuration); }
 
-void serving_fixture::addUpstream(const std::string& name, const raw_upstream& target, const std::string& domain)
+void serving_fixture::addUpstream(
+    const std::string& name, const raw_upstream& target, const std::string& domain, const std::string& version)
 {
     registered_upstream entry;
     entry.name = upstream_id(name);
     entry.service = service_id("mostrador");
-    entry.version = version_id("v1");
+    entry.version = version_id(version);
     entry.failureDomain = failure_domain_id(domain);
     entry.address = target.target().address;
     entry.slots = 4;
--- a/tests/unit/serving/serving_fixture.hpp
+++ b/tests/unit/serving/serving_fixture.hpp
@@ -19,7 +19,8 @@
     serving_fixture();
 
     /// Adds a raw upstream to the service.
-    void addUpstream(const std::string& name, const raw_upstream& target, const std::string& domain = "centro-a");
+    void addUpstream(const std::string& name, const raw_upstream& target, const std::string& domain = "centro-a",
+        const std::string& version = "v1");
 
     /// Activates the changed configuration.
     void apply();
