Count attempts that run into their deadline as slow, compared with the other versions

Cause: an answer counted as slow beyond three times the time for an uncached object. Logged: state=completed attempts=14 failures=0 slow=0. An upstream that has just started is slow whatever its version, so its slowness shows nothing.

--- a/src/flamingoroute/fleet/version_tally.cpp
+++ b/src/flamingoroute/fleet/version_tally.cpp
@@ -9,9 +9,9 @@
 
 using count_field = std::uint32_t version_tally::*;
 
-constexpr std::array<count_field, 7> countFields { &version_tally::attempts, &version_tally::failures,
+constexpr std::array<count_field, 8> countFields { &version_tally::attempts, &version_tally::failures,
     &version_tally::slow, &version_tally::broken, &version_tally::otherAttempts, &version_tally::otherFailures,
-    &version_tally::otherBroken };
+    &version_tally::otherBroken, &version_tally::otherSlow };
 
 } // namespace
 
--- a/src/flamingoroute/fleet/version_tally.hpp
+++ b/src/flamingoroute/fleet/version_tally.hpp
@@ -20,6 +20,7 @@
     std::uint64_t ageMs = 0; ///< since any instance first received the order, as last received by the sender
     std::uint32_t broken = 0; ///< connection lost before the answer
     std::uint32_t otherBroken = 0;
+    std::uint32_t otherSlow = 0;
 
     /// Adds the counts of @p part; the greater age applies.
     void add(const version_tally& part);
@@ -28,7 +29,8 @@
     void subtract(const version_tally& part);
 
     bool operator==(const version_tally&) const = default;
-    MSGPACK_DEFINE(service, version, attempts, failures, slow, otherAttempts, otherFailures, ageMs, broken, otherBroken)
+    MSGPACK_DEFINE(
+        service, version, attempts, failures, slow, otherAttempts, otherFailures, ageMs, broken, otherBroken, otherSlow)
 };
 
 } // namespace flamingoroute
--- a/src/flamingoroute/moves/version_comparison.cpp
+++ b/src/flamingoroute/moves/version_comparison.cpp
@@ -16,7 +16,8 @@
 };
 
 constexpr share_limits failureLimits { 3, 3.0, 0.04 };
-constexpr share_limits slowLimits { 4, 0.0, 0.2 };
+/// In an overload requests for all versions time out.
+constexpr share_limits slowLimits { 4, 2.0, 0.2 };
 /// Lost connections come in bursts that hit one version more than the other by chance.
 constexpr share_limits brokenLimits { 4, 3.0, 0.2 };
 
@@ -37,9 +38,11 @@
     const double failed = shareOf(counts.failures, counts.attempts);
     const double otherFailed = shareOf(counts.otherFailures, counts.otherAttempts);
     const double slow = shareOf(counts.slow, counts.attempts);
+    const double otherSlow = shareOf(counts.otherSlow, counts.otherAttempts);
     const double broken = shareOf(counts.broken, counts.attempts);
     const double otherBroken = shareOf(counts.otherBroken, counts.otherAttempts);
-    return exceeds(failed, otherFailed, counts.failures, failureLimits) || exceeds(slow, 0, counts.slow, slowLimits)
+    return exceeds(failed, otherFailed, counts.failures, failureLimits)
+        || exceeds(slow, otherSlow, counts.slow, slowLimits)
         || exceeds(broken, otherBroken, counts.broken, brokenLimits);
 }
 
--- a/src/flamingoroute/moves/version_gate.cpp
+++ b/src/flamingoroute/moves/version_gate.cpp
@@ -134,6 +134,7 @@
     if (existing->second.order.target != version) {
         ++local.otherAttempts;
         local.otherFailures += sample == version_sample::failed ? 1 : 0;
+        local.otherSlow += sample == version_sample::slow ? 1 : 0;
         local.otherBroken += sample == version_sample::broken ? 1 : 0;
         return false;
     }
--- a/src/flamingoroute/serving/request_flow.cpp
+++ b/src/flamingoroute/serving/request_flow.cpp
@@ -182,7 +182,7 @@
         = interpretation.verdict == attempt_verdict::served && m_chosen.wait == microseconds(0) && !m_chosen.isCold;
     if (isTypical)
         m_state.times.update(*m_request.rule, taken, m_chosen.isKnownWarm || !m_request.rule->isSticky);
-    recordVersionSample({ interpretation.verdict, coldRatioOf(taken) });
+    recordVersionSample({ interpretation.verdict, result.answer.status, coldRatioOf(taken), m_chosen.isCold });
 }
 
 double request_flow::coldRatioOf(microseconds taken) const
@@ -332,7 +332,9 @@
         report.verdict = verdict == attempt_verdict::abandoned ? attempt_verdict::timed_out : verdict;
         report.timeRatio = ratio;
     }
-    recordVersionSample({ attempt_verdict::abandoned, ratio });
+    // The connection of an unresponsive upstream was not lost: its answer is late.
+    const auto shown = verdict == attempt_verdict::broken ? attempt_verdict::timed_out : verdict;
+    recordVersionSample({ shown, 0, coldRatioOf(monotonicNow() - m_sentAt), m_chosen.isCold });
     endAttempt(report);
 }
 
--- a/src/flamingoroute/serving/version_sampling.hpp
+++ b/src/flamingoroute/serving/version_sampling.hpp
@@ -11,7 +11,9 @@
 /// What an attempt shows about its upstream's version.
 struct attempt_evidence {
     attempt_verdict verdict = attempt_verdict::served;
+    int status = 0; ///< of the answer, if there is one
     double coldRatio = 0; ///< elapsed time divided by the time that a healthy upstream takes for an uncached object
+    bool isUpstreamCold = false; ///< an upstream that has just started is slow for some seconds, whatever its version
 
     bool operator==(const attempt_evidence&) const = default;
 };
--- a/tests/unit/moves/version_comparison_test.cpp
+++ b/tests/unit/moves/version_comparison_test.cpp
@@ -43,4 +43,14 @@
     EXPECT_TRUE(isVersionBad(tally));
 }
 
+TEST(version_comparison, accepts_a_version_that_is_slow_as_often_as_the_others_in_an_overload)
+{
+    auto tally = tallyWith(20, 800);
+    tally.slow = 6;
+    tally.otherSlow = 200;
+    EXPECT_FALSE(isVersionBad(tally));
+    tally.otherSlow = 20;
+    EXPECT_TRUE(isVersionBad(tally));
+}
+
 } // namespace flamingoroute
--- a/tests/unit/serving/request_flow_test.cpp
+++ b/tests/unit/serving/request_flow_test.cpp
@@ -50,6 +50,7 @@
     for (int i = 0; i < count; ++i) {
         auto request = serving_fixture::readRequest();
         request.target += "-" + std::to_string(i);
+        request.headers[1].value = "id-" + std::to_string(i);
         ASSERT_TRUE(node.serve(request));
     }
 }
@@ -332,4 +333,21 @@
     EXPECT_EQ(due.front().state, version_order_state::rolled_back);
 }
 
+TEST(request_flow, finds_a_version_bad_whose_answers_take_longer_than_the_timeout)
+{
+    raw_upstream slow([](raw_upstream& self, StreamSocket& connection, int) { self.waitForClose(connection); });
+    serving_fixture node;
+    node.configuration.rules.front().timeout = milliseconds(600);
+    node.configuration.rules.front().objective = milliseconds(200);
+    node.configuration.rules.front().isSticky = true;
+    node.apply();
+    node.state.versions.recordOrder(orderOf(version_id("v2")), monotonicNow());
+    node.addUpstream("u-1", slow, "centro-a", "v2");
+    serveReads(node, 5);
+    node.state.versions.judge({}, monotonicNow());
+    const auto due = node.state.versions.dueStates(0, monotonicNow());
+    ASSERT_EQ(due.size(), 1U);
+    EXPECT_EQ(due.front().state, version_order_state::rolled_back);
+}
+
 } // namespace flamingoroute
