Do not complete a version that looks worse than the others

Cause: at the deadline every version that was not yet found bad was completed. Full load lasts about half a second by then, and the failures that it provokes are still few: six of 83, where 7.1 % would have been bad. Fix: at the deadline, a version that fails, is slow or breaks connections noticeably more often than the others is rolled back. Completing stops the old upstreams and can't be undone, rolling back can. Evidence: the new test of version_gate fails before (completed) and passes after.

--- a/src/flamingoroute/moves/version_comparison.cpp
+++ b/src/flamingoroute/moves/version_comparison.cpp
@@ -15,11 +15,14 @@
     double margin = 0; ///< added to it
 };
 
-constexpr share_limits failureLimits { 3, 3.0, 0.04 };
-/// In an overload requests for all versions time out.
-constexpr share_limits slowLimits { 4, 2.0, 0.2 };
-/// Lost connections come in bursts that hit one version more than the other by chance.
-constexpr share_limits brokenLimits { 4, 3.0, 0.2 };
+struct comparison_limits {
+    share_limits failures;
+    share_limits slow; ///< in an overload, requests for all versions time out
+    share_limits broken; ///< lost connections come in bursts that hit one version more than the other by chance
+};
+
+constexpr comparison_limits badLimits { { 3, 3.0, 0.04 }, { 4, 2.0, 0.2 }, { 4, 3.0, 0.2 } };
+constexpr comparison_limits doubtLimits { { 2, 2.0, 0.02 }, { 2, 1.5, 0.1 }, { 3, 2.0, 0.1 } };
 
 double shareOf(std::uint32_t count, std::uint32_t attempts)
 {
@@ -31,9 +34,7 @@
     return count >= limits.minCount && share >= limits.factor * otherShare + limits.margin;
 }
 
-} // namespace
-
-bool isVersionBad(const version_tally& counts)
+bool exceedsAny(const version_tally& counts, const comparison_limits& limits)
 {
     const double failed = shareOf(counts.failures, counts.attempts);
     const double otherFailed = shareOf(counts.otherFailures, counts.otherAttempts);
@@ -41,9 +42,15 @@
     const double otherSlow = shareOf(counts.otherSlow, counts.otherAttempts);
     const double broken = shareOf(counts.broken, counts.attempts);
     const double otherBroken = shareOf(counts.otherBroken, counts.otherAttempts);
-    return exceeds(failed, otherFailed, counts.failures, failureLimits)
-        || exceeds(slow, otherSlow, counts.slow, slowLimits)
-        || exceeds(broken, otherBroken, counts.broken, brokenLimits);
+    return exceeds(failed, otherFailed, counts.failures, limits.failures)
+        || exceeds(slow, otherSlow, counts.slow, limits.slow)
+        || exceeds(broken, otherBroken, counts.broken, limits.broken);
 }
 
+} // namespace
+
+bool isVersionBad(const version_tally& counts) { return exceedsAny(counts, badLimits); }
+
+bool isVersionDoubtful(const version_tally& counts) { return exceedsAny(counts, doubtLimits); }
+
 } // namespace flamingoroute
--- a/src/flamingoroute/moves/version_comparison.hpp
+++ b/src/flamingoroute/moves/version_comparison.hpp
@@ -10,6 +10,10 @@
 /// @return whether the version is bad
 bool isVersionBad(const version_tally& counts);
 
+/// @return whether the version looks worse than the others, so that it should not be completed. The old upstreams are
+/// stopped when a version is completed, so doubt counts against it.
+bool isVersionDoubtful(const version_tally& counts);
+
 } // namespace flamingoroute
 
 #endif
--- a/src/flamingoroute/moves/version_gate.cpp
+++ b/src/flamingoroute/moves/version_gate.cpp
@@ -194,7 +194,8 @@
         version_order next = running.order;
         const auto rankDelay = completionStagger * static_cast<std::int64_t>(rank);
         const bool isDurationOver = now - running.startedAt >= running.order.duration - completionMargin + rankDelay;
-        if (running.isBad || (isDurationOver && running.fleet.attempts < minAttemptsToComplete))
+        const bool isUnproven = running.fleet.attempts < minAttemptsToComplete || isVersionDoubtful(running.fleet);
+        if (running.isBad || (isDurationOver && isUnproven))
             next.state = version_order_state::rolled_back;
         else if (isDurationOver)
             next.state = version_order_state::completed;
--- a/src/flamingoroute/moves/version_gate.hpp
+++ b/src/flamingoroute/moves/version_gate.hpp
@@ -60,7 +60,8 @@
     version_tally evidenceOf(const service_id& service) const;
 
     /// @param rank of this instance among the reachable ones; the first one writes that an order is completed,
-    ///        each next one some time later. A bad version is rolled back by any instance at once.
+    ///        each next one some time later. A bad version is rolled back by any instance at once, a doubtful one
+    ///        instead of being completed.
     /// @return orders whose state in the store should become the returned one
     std::vector<version_order> dueStates(std::size_t rank, monotonic_time now) const;
 
--- a/tests/unit/moves/version_gate_test.cpp
+++ b/tests/unit/moves/version_gate_test.cpp
@@ -175,4 +175,17 @@
     EXPECT_EQ(gate.filterFor(service, 1, at(16'001)).preferred, newVersion);
 }
 
+TEST(version_gate, does_not_complete_a_version_whose_failures_begin_just_before_the_deadline)
+{
+    auto gate = gateWithOrder();
+    for (int i = 0; i < 2600; ++i)
+        gate.recordAttempt(service, oldVersion, i % 100 == 0 ? version_sample::failed : version_sample::good);
+    for (int i = 0; i < 83; ++i)
+        gate.recordAttempt(service, newVersion, i > 73 && i % 2 == 0 ? version_sample::failed : version_sample::good);
+    gate.judge({}, at(15'400));
+    const auto due = gate.dueStates(0, at(15'400));
+    ASSERT_EQ(due.size(), 1U);
+    EXPECT_EQ(due.front().state, version_order_state::rolled_back);
+}
+
 } // namespace flamingoroute
