--- /dev/null
+++ b/src/flamingoroute/serving/attempt_recorder.cpp
@@ -0,0 +1,113 @@
+#include "flamingoroute/serving/attempt_recorder.hpp"
+
+#include "flamingoroute/proxy/exchange_result.hpp"
+#include "flamingoroute/report/event_log.hpp"
+#include "flamingoroute/serving/admitted_request.hpp"
+#include "flamingoroute/serving/sent_attempt.hpp"
+#include "flamingoroute/serving/serving_state.hpp"
+#include "flamingoroute/serving/upstream_answer.hpp"
+#include "flamingoroute/serving/version_sampling.hpp"
+
+#include <algorithm>
+
+namespace flamingoroute {
+
+attempt_recorder::attempt_recorder(serving_state& state, const admitted_request& request, const sent_attempt& sent)
+    : m_state(state)
+    , m_request(request)
+    , m_sent(sent)
+{
+}
+
+void attempt_recorder::recordResult(const exchange_result& result, const upstream_answer& interpretation) const
+{
+    updateEstimates(result, interpretation);
+    recordReport(reportOf(result, interpretation));
+    if (interpretation.isUpstreamLeaving)
+        recordLeaving();
+}
+
+void attempt_recorder::recordCancelled(attempt_verdict verdict) const
+{
+    attempt_report report;
+    report.verdict = verdict;
+    // The elapsed time is a lower bound: the answer would have taken longer, but it is unknown how much.
+    const double ratio = timeRatio();
+    if (ratio > 1) {
+        report.verdict = verdict == attempt_verdict::abandoned ? attempt_verdict::timed_out : verdict;
+        report.timeRatio = ratio;
+    }
+    // The connection of an unresponsive upstream was not lost: its answer is late.
+    const auto shown = verdict == attempt_verdict::broken ? attempt_verdict::timed_out : verdict;
+    recordVersionSample({ shown, 0, coldRatioOf(monotonicNow() - m_sent.sentAt), m_sent.chosen.isCold });
+    recordReport(report);
+}
+
+double attempt_recorder::timeRatio() const
+{
+    const auto elapsed = static_cast<double>((monotonicNow() - m_sent.sentAt).count());
+    const double ratio = elapsed / static_cast<double>(std::max<std::int64_t>(1, m_sent.chosen.baseline.count()));
+    // An upstream that was fast without being known as warm had the object cached; it is not a faster upstream.
+    return m_sent.chosen.isKnownWarm ? ratio : std::max(1.0, ratio);
+}
+
+double attempt_recorder::coldRatioOf(microseconds taken) const
+{
+    const auto cold = m_state.times.of(*m_request.rule).cold;
+    return static_cast<double>(taken.count()) / static_cast<double>(std::max<std::int64_t>(1, cold.count()));
+}
+
+attempt_report attempt_recorder::reportOf(const exchange_result& result, const upstream_answer& interpretation) const
+{
+    attempt_report report;
+    report.verdict = interpretation.verdict;
+    if (result.outcome != attempt_outcome::answered)
+        return report;
+    report.load = parseLoad(result.answer, m_state.headers);
+    report.remainingColdTime = parseColdTime(result.answer, m_state.headers);
+    if (interpretation.verdict == attempt_verdict::served)
+        report.timeRatio = timeRatio();
+    return report;
+}
+
+void attempt_recorder::recordReport(const attempt_report& report) const
+{
+    const auto* policy = m_request.table->findService(m_request.query.service);
+    const auto coldTime = policy == nullptr ? milliseconds(0) : policy->coldTime;
+    m_state.upstreams.recordResult(m_sent.upstream.name, report, coldTime, monotonicNow());
+}
+
+void attempt_recorder::recordLeaving() const
+{
+    if (!m_state.upstreams.recordLeaving(m_sent.upstream.name, m_sent.upstream.startedAtMs))
+        return;
+    event_line(log_level::info, "upstream.leaving")
+        .with("upstream", m_sent.upstream.name.value())
+        .with("started_at_ms", m_sent.upstream.startedAtMs)
+        .with("request", m_request.id);
+}
+
+void attempt_recorder::updateEstimates(const exchange_result& result, const upstream_answer& interpretation) const
+{
+    const auto* upstream = m_state.upstreams.find(m_sent.upstream.name);
+    if (result.connectTime > microseconds(0) && upstream != nullptr)
+        m_state.paths.update(upstream->region, result.connectTime);
+    const auto pathDelay = upstream == nullptr ? microseconds(0) : m_state.paths.to(upstream->region);
+    const auto taken = std::max(microseconds(0), monotonicNow() - m_sent.sentAt - result.connectTime - pathDelay);
+    const bool isTypical = interpretation.verdict == attempt_verdict::served && m_sent.chosen.wait == microseconds(0)
+        && !m_sent.chosen.isCold;
+    if (isTypical)
+        m_state.times.update(*m_request.rule, taken, m_sent.chosen.isKnownWarm || !m_request.rule->isSticky);
+    recordVersionSample({ interpretation.verdict, result.answer.status, coldRatioOf(taken), m_sent.chosen.isCold });
+}
+
+void attempt_recorder::recordVersionSample(const attempt_evidence& evidence) const
+{
+    const auto sample = versionSampleOf(evidence);
+    const bool isAgainstVersion
+        = sample && m_state.versions.recordAttempt(m_request.query.service, m_sent.upstream.version, *sample);
+    if (isAgainstVersion && m_state.reportSoon)
+        m_state.reportSoon();
+}
+
+} // namespace flamingoroute
--- a/src/flamingoroute/serving/request_flow.cpp
+++ b/src/flamingoroute/serving/request_flow.cpp
@@ -3,11 +3,11 @@
 #include "flamingoroute/proxy/client_connection.hpp"
 #include "flamingoroute/report/event_log.hpp"
 #include "flamingoroute/requests/header_rules.hpp"
+#include "flamingoroute/serving/attempt_recorder.hpp"
 #include "flamingoroute/serving/local_answer.hpp"
 #include "flamingoroute/serving/request_admission.hpp"
 #include "flamingoroute/serving/serving_state.hpp"
 #include "flamingoroute/serving/upstream_answer.hpp"
-#include "flamingoroute/serving/version_sampling.hpp"
 #include "flamingoroute/steering/internal/hash64.hpp"
 
 #include <algorithm>
@@ -119,9 +119,7 @@
 {
     const auto now = monotonicNow();
     const auto* upstream = m_state.upstreams.find(chosen.upstream);
-    m_chosen = chosen;
-    m_upstream = upstream->registration;
-    m_sentAt = now;
+    m_sent = { upstream->registration, chosen, now };
     ++m_attempts;
     ++m_tries;
     m_request.query.tried.insert(chosen.upstream);
@@ -133,99 +131,34 @@
     m_state.shifts.record(upstream->region != m_state.settings.region, now);
     m_state.objects.record(chosen.upstream, m_request.query.objectHash, now);
     m_connection = m_state.connections.acquire(
-        m_upstream, m_request.rule->isIdempotent ? maxIdleTime : maxIdleTimeForNonIdempotent);
-    m_connection->exchange(upstreamRequest(m_upstream), connectTimeout,
+        m_sent.upstream, m_request.rule->isIdempotent ? maxIdleTime : maxIdleTimeForNonIdempotent);
+    m_connection->exchange(upstreamRequest(m_sent.upstream), connectTimeout,
         [self = shared_from_this()](const exchange_result& result) { self->onResult(result); });
 }
 
-double request_flow::timeRatio() const
+void request_flow::releaseConnection(attempt_verdict verdict)
 {
-    const auto elapsed = static_cast<double>((monotonicNow() - m_sentAt).count());
-    const double ratio = elapsed / static_cast<double>(std::max<std::int64_t>(1, m_chosen.baseline.count()));
-    // An upstream that was fast without being known as warm had the object cached; it is not a faster upstream.
-    return m_chosen.isKnownWarm ? ratio : std::max(1.0, ratio);
-}
-
-attempt_report request_flow::reportOf(const exchange_result& result, const upstream_answer& interpretation) const
-{
-    attempt_report report;
-    report.verdict = interpretation.verdict;
-    if (result.outcome != attempt_outcome::answered)
-        return report;
-    report.load = parseLoad(result.answer, m_state.headers);
-    report.remainingColdTime = parseColdTime(result.answer, m_state.headers);
-    if (interpretation.verdict == attempt_verdict::served)
-        report.timeRatio = timeRatio();
-    return report;
-}
-
-void request_flow::endAttempt(const attempt_report& report)
-{
-    const auto* policy = m_request.table->findService(m_request.query.service);
-    const auto coldTime = policy == nullptr ? milliseconds(0) : policy->coldTime;
-    m_state.upstreams.recordResult(m_upstream.name, report, coldTime, monotonicNow());
     const auto connection = std::exchange(m_connection, nullptr);
-    if (report.verdict == attempt_verdict::broken || report.verdict == attempt_verdict::unreachable)
-        m_state.connections.dropIdle(m_upstream.name);
+    if (verdict == attempt_verdict::broken || verdict == attempt_verdict::unreachable)
+        m_state.connections.dropIdle(m_sent.upstream.name);
     else if (connection)
-        m_state.connections.release(m_upstream, connection);
-}
-
-void request_flow::updateEstimates(const exchange_result& result, const upstream_answer& interpretation)
-{
-    const auto* upstream = m_state.upstreams.find(m_upstream.name);
-    if (result.connectTime > microseconds(0) && upstream != nullptr)
-        m_state.paths.update(upstream->region, result.connectTime);
-    const auto pathDelay = upstream == nullptr ? microseconds(0) : m_state.paths.to(upstream->region);
-    const auto taken = std::max(microseconds(0), monotonicNow() - m_sentAt - result.connectTime - pathDelay);
-    const bool isTypical
-        = interpretation.verdict == attempt_verdict::served && m_chosen.wait == microseconds(0) && !m_chosen.isCold;
-    if (isTypical)
-        m_state.times.update(*m_request.rule, taken, m_chosen.isKnownWarm || !m_request.rule->isSticky);
-    recordVersionSample({ interpretation.verdict, result.answer.status, coldRatioOf(taken), m_chosen.isCold });
-}
-
-double request_flow::coldRatioOf(microseconds taken) const
-{
-    const auto cold = m_state.times.of(*m_request.rule).cold;
-    return static_cast<double>(taken.count()) / static_cast<double>(std::max<std::int64_t>(1, cold.count()));
-}
-
-void request_flow::recordVersionSample(const attempt_evidence& evidence)
-{
-    const auto sample = versionSampleOf(evidence);
-    const bool isAgainstVersion
-        = sample && m_state.versions.recordAttempt(m_request.query.service, m_upstream.version, *sample);
-    if (isAgainstVersion && m_state.reportSoon)
-        m_state.reportSoon();
-}
-
-void request_flow::recordLeaving()
-{
-    if (!m_state.upstreams.recordLeaving(m_upstream.name, m_upstream.startedAtMs))
-        return;
-    event_line(log_level::info, "upstream.leaving")
-        .with("upstream", m_upstream.name.value())
-        .with("started_at_ms", m_upstream.startedAtMs)
-        .with("request", m_request.id);
+        m_state.connections.release(m_sent.upstream, connection);
 }
 
 void request_flow::onResult(const exchange_result& result)
 {
     const auto interpretation = interpretExchange(result, m_state.headers);
     ++m_state.counters.attempts[toString(interpretation.outcome)];
-    updateEstimates(result, interpretation);
-    endAttempt(reportOf(result, interpretation));
-    if (interpretation.isUpstreamLeaving)
-        recordLeaving();
+    attempt_recorder(m_state, m_request, m_sent).recordResult(result, interpretation);
+    releaseConnection(interpretation.verdict);
     if (m_isDone)
         return;
     const auto now = monotonicNow();
     if (result.wasConnectionLost && interpretation.outcome == attempt_outcome::unknown) {
         const auto fingerprint = fingerprintOf(*m_exchange, m_request);
-        if (m_state.quarantine.recordBroken(fingerprint, m_upstream.name, microseconds(0), now)
+        if (m_state.quarantine.recordBroken(fingerprint, m_sent.upstream.name, microseconds(0), now)
             && m_state.reportBrokenConnection)
-            m_state.reportBrokenConnection(fingerprint, m_upstream.name);
+            m_state.reportBrokenConnection(fingerprint, m_sent.upstream.name);
     }
     if (interpretation.isDeliverable && !interpretation.isServerError) {
         if (!m_state.quarantine.empty())
@@ -287,10 +220,10 @@
 
 bool request_flow::isUpstreamUnresponsive(monotonic_time now) const
 {
-    const auto* upstream = m_state.upstreams.find(m_upstream.name);
+    const auto* upstream = m_state.upstreams.find(m_sent.upstream.name);
     const auto cold = m_state.times.of(*m_request.rule).cold;
-    const bool isOverdue = now - m_sentAt > unresponsiveFactor * std::max(cold, m_chosen.expected);
-    return m_connection && isOverdue && upstream != nullptr && upstream->lastAnswerAt < m_sentAt;
+    const bool isOverdue = now - m_sent.sentAt > unresponsiveFactor * std::max(cold, m_sent.chosen.expected);
+    return m_connection && isOverdue && upstream != nullptr && upstream->lastAnswerAt < m_sent.sentAt;
 }
 
 void request_flow::onTimer()
@@ -324,18 +257,8 @@
         return;
     m_mayHaveRun = m_mayHaveRun || m_connection->hasSent();
     m_connection->cancel();
-    attempt_report report;
-    report.verdict = verdict;
-    // The elapsed time is a lower bound: the answer would have taken longer, but it is unknown how much.
-    const double ratio = timeRatio();
-    if (ratio > 1) {
-        report.verdict = verdict == attempt_verdict::abandoned ? attempt_verdict::timed_out : verdict;
-        report.timeRatio = ratio;
-    }
-    // The connection of an unresponsive upstream was not lost: its answer is late.
-    const auto shown = verdict == attempt_verdict::broken ? attempt_verdict::timed_out : verdict;
-    recordVersionSample({ shown, 0, coldRatioOf(monotonicNow() - m_sentAt), m_chosen.isCold });
-    endAttempt(report);
+    attempt_recorder(m_state, m_request, m_sent).recordCancelled(verdict);
+    releaseConnection(verdict);
 }
 
 void request_flow::onDeadline()
@@ -386,10 +309,10 @@
         line.with("object", object);
     if (m_attempts > 0)
         line.with("attempts", m_attempts)
-            .with("upstream", m_upstream.name.value())
-            .with("warm", m_chosen.isKnownWarm ? 1 : 0);
+            .with("upstream", m_sent.upstream.name.value())
+            .with("warm", m_sent.chosen.isKnownWarm ? 1 : 0);
     line.with("elapsed_us", (monotonicNow() - m_exchange->arrivedAt).count());
-    line.with("expected_us", m_chosen.expected.count()).with("wait_us", m_chosen.wait.count());
+    line.with("expected_us", m_sent.chosen.expected.count()).with("wait_us", m_sent.chosen.wait.count());
 }
 
 } // namespace flamingoroute
--- a/src/flamingoroute/serving/request_flow.hpp
+++ b/src/flamingoroute/serving/request_flow.hpp
@@ -3,11 +3,11 @@
 
 #include "flamingoroute/model/ids.hpp"
 #include "flamingoroute/model/monotonic_time.hpp"
-#include "flamingoroute/model/registered_upstream.hpp"
 #include "flamingoroute/placement/attempt_report.hpp"
 #include "flamingoroute/proxy/caller_exchange.hpp"
 #include "flamingoroute/requests/attempt_outcome.hpp"
 #include "flamingoroute/serving/admitted_request.hpp"
+#include "flamingoroute/serving/sent_attempt.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -18,7 +18,6 @@
 namespace flamingoroute {
 
 class client_connection;
-struct attempt_evidence;
 struct exchange_result;
 struct local_refusal;
 struct serving_state;
@@ -44,16 +43,10 @@
     void send(const selection& chosen);
     http_request upstreamRequest(const registered_upstream& upstream) const;
     void onResult(const exchange_result& result);
-    attempt_report reportOf(const exchange_result& result, const upstream_answer& interpretation) const;
-    double coldRatioOf(microseconds taken) const;
-    void recordVersionSample(const attempt_evidence& evidence);
-    void recordLeaving();
-    double timeRatio() const;
-    void updateEstimates(const exchange_result& result, const upstream_answer& interpretation);
+    void releaseConnection(attempt_verdict verdict);
     bool takeRetry();
     bool mayRetry(const upstream_answer& interpretation);
     void stopRetrying(const upstream_answer& interpretation);
-    void endAttempt(const attempt_report& report);
     void cancelAttempt(attempt_verdict verdict);
 
     void armTimer();
@@ -75,10 +68,8 @@
 
     int m_attempts = 0; ///< attempts whose upstream may have received the request
     int m_tries = 0; ///< all attempts, including those with an unreachable upstream
-    selection m_chosen;
-    registered_upstream m_upstream;
+    sent_attempt m_sent;
     std::shared_ptr<client_connection> m_connection;
-    monotonic_time m_sentAt;
     bool m_mayHaveRun = false; ///< set by an attempt that failed, was cancelled after sending or has an unknown outcome
     std::optional<caller_answer> m_failureAnswer; ///< an upstream's failure answer, sent if no later attempt succeeds
     bool m_isDone = false;
