--- a/src/flamingoroute/placement/upstream_directory.cpp
+++ b/src/flamingoroute/placement/upstream_directory.cpp
@@ -55,6 +55,13 @@
     upstream.loadReportedAt = now;
 }
 
+void updateLimit(upstream_state& upstream, const attempt_report& report)
+{
+    const bool isLifted = report.verdict == attempt_verdict::served && !report.requestLimit;
+    if (isLifted || report.requestLimit)
+        upstream.requestLimit = report.requestLimit;
+}
+
 void updateHealth(upstream_state& upstream, const attempt_report& report, monotonic_time now)
 {
     const double failed = isFailure(report.verdict) || isShedWithFreeSlots(report) ? 1 : 0;
@@ -168,6 +175,7 @@
         upstream.coldUntil = now + microseconds(*report.remainingColdTime);
     if (report.load)
         updateLoad(upstream, *report.load, now);
+    updateLimit(upstream, report);
     upstream.isMisdirected = upstream.isMisdirected || report.verdict == attempt_verdict::misdirected;
     if (report.verdict == attempt_verdict::timed_out)
         return;
--- a/src/flamingoroute/placement/upstream_state.hpp
+++ b/src/flamingoroute/placement/upstream_state.hpp
@@ -4,6 +4,8 @@
 #include "flamingoroute/model/monotonic_time.hpp"
 #include "flamingoroute/model/registered_upstream.hpp"
 
+#include <optional>
+
 namespace flamingoroute {
 
 /// State of an upstream on this instance: its entry in the list, and what was measured from its answers.
@@ -20,6 +22,7 @@
     double slowness = 1; ///< time per request divided by the expected time, as of healthUpdatedAt
     monotonic_time healthUpdatedAt;
     monotonic_time lastAnswerAt;
+    std::optional<double> requestLimit; ///< requests per second from all instances, as named in the last answer
     bool isLeaving = false; ///< its entry or an answer said that it will soon accept no more requests
     bool isMisdirected = false; ///< its address answered that it belongs to another upstream
 
--- a/src/flamingoroute/proxy/header_names.hpp
+++ b/src/flamingoroute/proxy/header_names.hpp
@@ -15,6 +15,7 @@
     std::string notRun; ///< set by an upstream that did not run the request
     std::string load; ///< running and waiting requests of an upstream, and its slots
     std::string remainingColdTime; ///< header with the milliseconds that an upstream stays cold
+    std::string requestLimit; ///< requests per second that an upstream accepts from all instances together
     std::string leaving; ///< set by an upstream that will soon accept no more requests
     std::string upstreamName; ///< in health answers
     std::string signature; ///< marks an answer as created by an upstream
--- a/src/flamingoroute/serving/attempt_recorder.cpp
+++ b/src/flamingoroute/serving/attempt_recorder.cpp
@@ -64,6 +64,7 @@
     if (result.outcome != attempt_outcome::answered)
         return report;
     report.load = parseLoad(result.answer, m_state.headers);
+    report.requestLimit = parseRequestLimit(result.answer, m_state.headers);
     report.remainingColdTime = parseColdTime(result.answer, m_state.headers);
     if (interpretation.verdict == attempt_verdict::served)
         report.timeRatio = timeRatio();
@@ -74,7 +75,21 @@
 {
     const auto* policy = m_request.table->findService(m_request.query.service);
     const auto coldTime = policy == nullptr ? milliseconds(0) : policy->coldTime;
+    const auto limitBefore = requestLimit();
     m_state.upstreams.recordResult(m_sent.upstream.name, report, coldTime, monotonicNow());
+    if (requestLimit() == limitBefore)
+        return;
+    event_line(log_level::info, "upstream.limit")
+        .with("upstream", m_sent.upstream.name.value())
+        .with("before_per_s", limitBefore ? std::to_string(*limitBefore) : "none")
+        .with("limit_per_s", requestLimit() ? std::to_string(*requestLimit()) : "none")
+        .with("request", m_request.id);
+}
+
+std::optional<double> attempt_recorder::requestLimit() const
+{
+    const auto* upstream = m_state.upstreams.find(m_sent.upstream.name);
+    return upstream == nullptr ? std::nullopt : upstream->requestLimit;
 }
 
 void attempt_recorder::recordLeaving() const
--- a/src/flamingoroute/serving/attempt_recorder.hpp
+++ b/src/flamingoroute/serving/attempt_recorder.hpp
@@ -4,6 +4,8 @@
 #include "flamingoroute/model/monotonic_time.hpp"
 #include "flamingoroute/placement/attempt_report.hpp"
 
+#include <optional>
+
 namespace flamingoroute {
 
 struct admitted_request;
@@ -28,6 +30,7 @@
 private:
     attempt_report reportOf(const exchange_result& result, const upstream_answer& interpretation) const;
     void recordReport(const attempt_report& report) const;
+    std::optional<double> requestLimit() const;
     void recordLeaving() const;
     void updateEstimates(const exchange_result& result, const upstream_answer& interpretation) const;
     void recordVersionSample(const attempt_evidence& evidence) const;
--- a/src/flamingoroute/serving/upstream_answer.cpp
+++ b/src/flamingoroute/serving/upstream_answer.cpp
@@ -3,6 +3,8 @@
 #include "flamingoroute/requests/header_rules.hpp"
 #include "flamingoroute/serving/local_answer.hpp"
 
+#include <charconv>
+#include <cmath>
 #include <cstdio>
 
 namespace flamingoroute {
@@ -63,6 +65,16 @@
     return load;
 }
 
+std::optional<double> parseRequestLimit(const caller_answer& answer, const header_names& names)
+{
+    const std::string text = headerValue(answer.headers, names.requestLimit);
+    double perSecond = 0;
+    const char* last = text.data() + text.size();
+    const auto [end, problem] = std::from_chars(text.data(), last, perSecond);
+    const bool isNumber = problem == std::errc {} && end == last && std::isfinite(perSecond) && perSecond >= 0;
+    return isNumber ? std::optional(perSecond) : std::nullopt;
+}
+
 std::optional<milliseconds> parseColdTime(const caller_answer& answer, const header_names& names)
 {
     const std::string text = headerValue(answer.headers, names.remainingColdTime);
--- a/src/flamingoroute/serving/upstream_answer.hpp
+++ b/src/flamingoroute/serving/upstream_answer.hpp
@@ -22,6 +22,9 @@
 /// @return the load that the answer reports, if it does
 std::optional<reported_load> parseLoad(const caller_answer& answer, const header_names& names);
 
+/// @return the requests per second that the answer names as the upstream's limit; empty if it names none or no number
+std::optional<double> parseRequestLimit(const caller_answer& answer, const header_names& names);
+
 /// @return the remaining cold time that the answer reports, if any
 std::optional<milliseconds> parseColdTime(const caller_answer& answer, const header_names& names);
 
--- a/tests/unit/serving/serving_fixture.cpp
+++ b/tests/unit/serving/serving_fixture.cpp
@@ -17,6 +17,7 @@
     names.notRun = "X-Not-Run";
     names.load = "X-Load";
     names.remainingColdTime = "X-Cold";
+    names.requestLimit = "X-Limit";
     names.leaving = "X-Leaving";
     names.upstreamName = "X-Upstream";
     names.signature = "X-Signature";
