Keep the fleet's requests to an upstream within the limit that it names

Cause: nothing read the limit; and it is one for all instances together. Fix: a few instances near the upstream, the same ones in every view of the fleet, share 85 % of the rate; all others together get a tenth, by which they notice that the limit is lifted. No messages are needed, so it holds in a cut fleet. An upstream at its limit stays in the plan of regions and versions, so that an object keeps its upstreams and requests do not spill over to an untried version; if all are at their limit, the request is refused at once. Ruled out: an even split (two thirds of the rate would go to instances that send nothing there).

--- a/src/flamingoroute/placement/upstream_directory.cpp
+++ b/src/flamingoroute/placement/upstream_directory.cpp
@@ -60,6 +60,8 @@
     const bool isLifted = report.verdict == attempt_verdict::served && !report.requestLimit;
     if (isLifted || report.requestLimit)
         upstream.requestLimit = report.requestLimit;
+    if (isLifted)
+        upstream.nextLimitedSendAt = {};
 }
 
 void updateHealth(upstream_state& upstream, const attempt_report& report, monotonic_time now)
@@ -160,6 +162,16 @@
         ++known->second.inFlight;
 }
 
+void upstream_directory::takeLimitShare(const upstream_id& name, const limit_share& share, monotonic_time now)
+{
+    const auto known = m_upstreams.find(name);
+    if (known == m_upstreams.end())
+        return;
+    auto& next = known->second.nextLimitedSendAt;
+    const monotonic_time earliest = now - share.interval * (share.burst - 1);
+    next = std::max(next, earliest) + share.interval;
+}
+
 void upstream_directory::recordResult(
     const upstream_id& name, const attempt_report& report, milliseconds coldTime, monotonic_time now)
 {
--- a/src/flamingoroute/placement/upstream_directory.hpp
+++ b/src/flamingoroute/placement/upstream_directory.hpp
@@ -3,6 +3,7 @@
 
 #include "flamingoroute/model/failure_domain.hpp"
 #include "flamingoroute/placement/attempt_report.hpp"
+#include "flamingoroute/placement/limit_share.hpp"
 #include "flamingoroute/placement/upstream_state.hpp"
 
 #include <map>
@@ -30,6 +31,10 @@
     void setEvacuated(const std::set<failure_domain_id>& domains, milliseconds coldTime, monotonic_time now);
 
     void recordSent(const upstream_id& name);
+
+    /// Counts a request against this instance's share of the limit that the upstream named.
+    void takeLimitShare(const upstream_id& name, const limit_share& share, monotonic_time now);
+
     /// @param coldTime of the service: how long an upstream counts as cold after a back-off
     void recordResult(const upstream_id& name, const attempt_report& report, milliseconds coldTime, monotonic_time now);
 
--- a/src/flamingoroute/placement/upstream_state.hpp
+++ b/src/flamingoroute/placement/upstream_state.hpp
@@ -23,6 +23,7 @@
     monotonic_time healthUpdatedAt;
     monotonic_time lastAnswerAt;
     std::optional<double> requestLimit; ///< requests per second from all instances, as named in the last answer
+    monotonic_time nextLimitedSendAt; ///< while a limit is named: when this instance may send the next request
     bool isLeaving = false; ///< its entry or an answer said that it will soon accept no more requests
     bool isMisdirected = false; ///< its address answered that it belongs to another upstream
 
--- a/src/flamingoroute/serving/attempt_recorder.cpp
+++ b/src/flamingoroute/serving/attempt_recorder.cpp
@@ -3,6 +3,7 @@
 #include "flamingoroute/proxy/exchange_result.hpp"
 #include "flamingoroute/report/event_log.hpp"
 #include "flamingoroute/serving/admitted_request.hpp"
+#include "flamingoroute/serving/near_instances.hpp"
 #include "flamingoroute/serving/sent_attempt.hpp"
 #include "flamingoroute/serving/serving_state.hpp"
 #include "flamingoroute/serving/upstream_answer.hpp"
@@ -75,10 +76,14 @@
 {
     const auto* policy = m_request.table->findService(m_request.query.service);
     const auto coldTime = policy == nullptr ? milliseconds(0) : policy->coldTime;
+    const auto now = monotonicNow();
     const auto limitBefore = requestLimit();
-    m_state.upstreams.recordResult(m_sent.upstream.name, report, coldTime, monotonicNow());
+    m_state.upstreams.recordResult(m_sent.upstream.name, report, coldTime, now);
     if (requestLimit() == limitBefore)
         return;
+    if (!limitBefore) // the request that revealed the limit counts against it
+        m_state.upstreams.takeLimitShare(
+            m_sent.upstream.name, limitShareFor(m_state, *m_state.upstreams.find(m_sent.upstream.name)), now);
     event_line(log_level::info, "upstream.limit")
         .with("upstream", m_sent.upstream.name.value())
         .with("before_per_s", limitBefore ? std::to_string(*limitBefore) : "none")
--- a/src/flamingoroute/serving/request_flow.cpp
+++ b/src/flamingoroute/serving/request_flow.cpp
@@ -5,6 +5,7 @@
 #include "flamingoroute/requests/header_rules.hpp"
 #include "flamingoroute/serving/attempt_recorder.hpp"
 #include "flamingoroute/serving/local_answer.hpp"
+#include "flamingoroute/serving/near_instances.hpp"
 #include "flamingoroute/serving/request_admission.hpp"
 #include "flamingoroute/serving/serving_state.hpp"
 #include "flamingoroute/serving/upstream_answer.hpp"
@@ -126,6 +127,8 @@
     if (m_mayHaveRun && m_request.customer != nullptr)
         m_state.rates.recordExtraAttempt(*m_request.customer, now);
     m_state.upstreams.recordSent(chosen.upstream);
+    if (upstream->requestLimit)
+        m_state.upstreams.takeLimitShare(chosen.upstream, limitShareFor(m_state, *upstream), now);
     if (chosen.isCold)
         m_state.cold.recordSent(chosen.upstream, now);
     m_state.shifts.record(upstream->region != m_state.settings.region, now);
--- a/src/flamingoroute/serving/upstream_selector.cpp
+++ b/src/flamingoroute/serving/upstream_selector.cpp
@@ -2,6 +2,7 @@
 
 #include "flamingoroute/placement/placement.hpp"
 #include "flamingoroute/placement/region_shares.hpp"
+#include "flamingoroute/serving/near_instances.hpp"
 #include "flamingoroute/serving/serving_state.hpp"
 
 #include <algorithm>
@@ -47,6 +48,12 @@
     return kept;
 }
 
+/// @return the @p upstreams that may receive a request of this instance now, by the limits that they named
+std::vector<const upstream_state*> withinLimits(const std::vector<const upstream_state*>& upstreams, monotonic_time now)
+{
+    return keepIf(upstreams, [&](const upstream_state* upstream) { return now >= upstream->nextLimitedSendAt; });
+}
+
 /// Reduces @p upstreams to those that pass @p test, unless none passes.
 template <typename Test> void prefer(std::vector<const upstream_state*>& upstreams, Test test)
 {
@@ -78,10 +85,7 @@
     const auto* policy = m_state.table->findService(query.service);
     if (policy == nullptr)
         return true;
-    auto near = m_state.members.instancesIn(upstream.region);
-    if (near.empty())
-        near.push_back(m_state.settings.instance);
-    return m_state.cold.maySend(upstream.registration.name, near, policy->coldRate, now);
+    return m_state.cold.maySend(upstream.registration.name, nearInstances(m_state, upstream), policy->coldRate, now);
 }
 
 std::vector<const upstream_state*> upstream_selector::allowedUpstreams(
@@ -141,16 +145,22 @@
 selection upstream_selector::select(const selection_query& query, monotonic_time now) const
 {
     selection result;
-    auto allowed = allowedUpstreams(query, now);
+    const auto allowed = allowedUpstreams(query, now);
     if (allowed.empty())
         return result;
-    auto plan = planFor(allowed, m_state.settings);
-    const auto allowedCount = allowed.size();
-    limitShift(allowed, plan, query, now);
-    if (allowed.size() != allowedCount)
-        plan = planFor(allowed, m_state.settings);
-    const auto candidates = candidatesOf(allowed, plan, query, now);
     const auto times = m_state.times.of(*query.rule);
+    // Includes upstreams at their limit, so that each object keeps its upstreams from one request to the next.
+    auto plan = planFor(allowed, m_state.settings);
+    auto sendable = withinLimits(allowed, now);
+    if (sendable.empty()) {
+        result.reason = selection_reason::no_capacity;
+        return result;
+    }
+    const auto sendableCount = sendable.size();
+    limitShift(sendable, plan, query, now);
+    if (sendable.size() != sendableCount)
+        plan = planFor(sendable, m_state.settings);
+    const auto candidates = candidatesOf(sendable, plan, query, now);
     placement_request request;
     request.objectHash = query.objectHash;
     request.isSticky = query.rule->isSticky;
@@ -168,7 +178,7 @@
         return result;
     result.upstream = candidates[*choice.index].name;
     result.isKnownWarm = candidates[*choice.index].isWarm;
-    result.isCold = now < allowed[*choice.index]->coldUntil;
+    result.isCold = now < sendable[*choice.index]->coldUntil;
     return result;
 }
 
--- a/tests/unit/serving/request_flow_test.cpp
+++ b/tests/unit/serving/request_flow_test.cpp
@@ -350,4 +350,17 @@
     EXPECT_EQ(due.front().state, version_order_state::rolled_back);
 }
 
+TEST(request_flow, keeps_requests_to_an_upstream_within_the_limit_that_its_answers_name)
+{
+    raw_upstream limited(answering("200 OK", "X-Limit: 2.0\r\n"));
+    raw_upstream other(answering("200 OK"));
+    serving_fixture node;
+    node.addUpstream("u-1", limited);
+    node.addUpstream("u-2", other);
+    serveReads(node, 100);
+    EXPECT_GT(limited.requestCount(), 0);
+    EXPECT_LE(limited.requestCount(), 2.0 * 1.5 * 4 + 5);
+    EXPECT_EQ(limited.requestCount() + other.requestCount(), 100);
+}
+
 } // namespace flamingoroute
