Send nothing to an upstream for as long as its 503 asks for

Cause: Retry-After of an upstream's 503 was not read, so the next request went to the same upstream. Evidence: the new test of request_flow fails before (6 requests within a second, 1 allowed by the pause) and passes after. Numbers that are none are ignored. If no upstream accepts a request, callers are told when one will, up to a second: another instance may find one earlier.

--- a/src/flamingoroute/placement/attempt_report.hpp
+++ b/src/flamingoroute/placement/attempt_report.hpp
@@ -33,6 +33,7 @@
     std::optional<reported_load> load;
     std::optional<milliseconds> remainingColdTime; ///< remaining time as a cold upstream, if the answer reports it
     std::optional<double> requestLimit; ///< requests per second that the upstream accepts, if the answer names a limit
+    std::optional<milliseconds> pause; ///< the upstream turned the request away and wants none for so long
     double timeRatio = 0; ///< elapsed time divided by the time expected of a healthy upstream; 0: unknown
 };
 
--- a/src/flamingoroute/placement/upstream_directory.cpp
+++ b/src/flamingoroute/placement/upstream_directory.cpp
@@ -79,6 +79,11 @@
 
 } // namespace
 
+bool acceptsNow(const upstream_state& upstream, monotonic_time now)
+{
+    return now >= upstream.nextLimitedSendAt && now >= upstream.pausedUntil;
+}
+
 double estimatedLoad(const upstream_state& upstream, monotonic_time now)
 {
     return upstream.inFlight + upstream.othersLoad * decayFactor(upstream.loadReportedAt, now, loadHalfLife);
@@ -188,6 +193,8 @@
     if (report.load)
         updateLoad(upstream, *report.load, now);
     updateLimit(upstream, report);
+    if (report.pause)
+        upstream.pausedUntil = std::max<monotonic_time>(upstream.pausedUntil, now + *report.pause);
     upstream.isMisdirected = upstream.isMisdirected || report.verdict == attempt_verdict::misdirected;
     if (report.verdict == attempt_verdict::timed_out)
         return;
--- a/src/flamingoroute/placement/upstream_directory.hpp
+++ b/src/flamingoroute/placement/upstream_directory.hpp
@@ -71,6 +71,10 @@
     std::set<failure_domain_id> m_evacuated;
 };
 
+/// @return whether the upstream accepts a request of this instance now, by the limit that it named and by the time for
+/// which it asked to receive none
+bool acceptsNow(const upstream_state& upstream, monotonic_time now);
+
 /// @return recent time per request divided by the expected time, 1 if as expected; decays to 1 within some seconds, so
 /// that a slow upstream is tried again
 double currentSlowness(const upstream_state& upstream, monotonic_time now);
--- a/src/flamingoroute/placement/upstream_state.hpp
+++ b/src/flamingoroute/placement/upstream_state.hpp
@@ -24,6 +24,7 @@
     monotonic_time lastAnswerAt;
     std::optional<double> requestLimit; ///< requests per second from all instances, as named in the last answer
     monotonic_time nextLimitedSendAt; ///< while a limit is named: when this instance may send the next request
+    monotonic_time pausedUntil; ///< the upstream turned a request away and asked for none until then
     bool isLeaving = false; ///< its entry or an answer said that it will soon accept no more requests
     bool isMisdirected = false; ///< its address answered that it belongs to another upstream
 
--- a/src/flamingoroute/serving/attempt_recorder.cpp
+++ b/src/flamingoroute/serving/attempt_recorder.cpp
@@ -66,6 +66,8 @@
         return report;
     report.load = parseLoad(result.answer, m_state.headers);
     report.requestLimit = parseRequestLimit(result.answer, m_state.headers);
+    if (interpretation.verdict != attempt_verdict::misdirected)
+        report.pause = parsePause(result.answer);
     report.remainingColdTime = parseColdTime(result.answer, m_state.headers);
     if (interpretation.verdict == attempt_verdict::served)
         report.timeRatio = timeRatio();
@@ -76,6 +78,11 @@
 {
     const auto* policy = m_request.table->findService(m_request.query.service);
     const auto coldTime = policy == nullptr ? milliseconds(0) : policy->coldTime;
+    if (report.pause)
+        event_line(log_level::info, "upstream.paused")
+            .with("upstream", m_sent.upstream.name.value())
+            .with("for_ms", report.pause->count())
+            .with("request", m_request.id);
     const auto now = monotonicNow();
     const auto limitBefore = requestLimit();
     m_state.upstreams.recordResult(m_sent.upstream.name, report, coldTime, now);
--- a/src/flamingoroute/serving/upstream_answer.cpp
+++ b/src/flamingoroute/serving/upstream_answer.cpp
@@ -13,6 +13,9 @@
 
 constexpr int minServerErrorStatus = 500;
 constexpr int misdirectedStatus = 421;
+constexpr int unavailableStatus = 503;
+/// An upstream that asks for a longer pause is tried again after this time.
+constexpr double maxPauseSeconds = 3600;
 constexpr const char* isLeavingValue = "1";
 
 /// @return whether callers conclude from @p status that the request did not run
@@ -21,6 +24,16 @@
     return status == 429 || status == 503 || status == 408 || status == misdirectedStatus;
 }
 
+/// @return the decimal number in @p text; empty if it is none, negative or not finite
+std::optional<double> parseNumber(const std::string& text)
+{
+    double number = 0;
+    const char* last = text.data() + text.size();
+    const auto [end, problem] = std::from_chars(text.data(), last, number);
+    const bool isValid = problem == std::errc {} && end == last && std::isfinite(number) && number >= 0;
+    return isValid ? std::optional(number) : std::nullopt;
+}
+
 } // namespace
 
 upstream_answer interpretExchange(const exchange_result& result, const header_names& names)
@@ -67,12 +80,16 @@
 
 std::optional<double> parseRequestLimit(const caller_answer& answer, const header_names& names)
 {
-    const std::string text = headerValue(answer.headers, names.requestLimit);
-    double perSecond = 0;
-    const char* last = text.data() + text.size();
-    const auto [end, problem] = std::from_chars(text.data(), last, perSecond);
-    const bool isNumber = problem == std::errc {} && end == last && std::isfinite(perSecond) && perSecond >= 0;
-    return isNumber ? std::optional(perSecond) : std::nullopt;
+    return parseNumber(headerValue(answer.headers, names.requestLimit));
+}
+
+std::optional<milliseconds> parsePause(const caller_answer& answer)
+{
+    const auto number = parseNumber(headerValue(answer.headers, "Retry-After"));
+    if (answer.status != unavailableStatus || !number)
+        return std::nullopt;
+    const std::chrono::duration<double> pause(std::min(*number, maxPauseSeconds));
+    return std::chrono::ceil<milliseconds>(pause);
 }
 
 std::optional<milliseconds> parseColdTime(const caller_answer& answer, const header_names& names)
--- a/src/flamingoroute/serving/upstream_answer.hpp
+++ b/src/flamingoroute/serving/upstream_answer.hpp
@@ -25,6 +25,9 @@
 /// @return the requests per second that the answer names as the upstream's limit; empty if it names none or no number
 std::optional<double> parseRequestLimit(const caller_answer& answer, const header_names& names);
 
+/// @return for how long an upstream that turned the request away wants no requests; empty if it does not say so
+std::optional<milliseconds> parsePause(const caller_answer& answer);
+
 /// @return the remaining cold time that the answer reports, if any
 std::optional<milliseconds> parseColdTime(const caller_answer& answer, const header_names& names);
 
--- a/src/flamingoroute/serving/upstream_selector.cpp
+++ b/src/flamingoroute/serving/upstream_selector.cpp
@@ -20,6 +20,7 @@
 /// Share of all slots that a well utilised service occupies while its objects are cached.
 constexpr double expectedLoad = 0.6;
 constexpr double coldSlowness = 2;
+constexpr microseconds maxWaitForSend { 1'000'000 };
 
 std::map<region_id, region_capacity> capacitiesOf(
     const std::vector<const upstream_state*>& upstreams, const std::map<failure_domain_id, region_id>& regions)
@@ -48,10 +49,14 @@
     return kept;
 }
 
-/// @return the @p upstreams that may receive a request of this instance now, by the limits that they named
-std::vector<const upstream_state*> withinLimits(const std::vector<const upstream_state*>& upstreams, monotonic_time now)
+/// @param upstreams not empty; none accepts a request now
+/// @return until one does, as far as callers should wait for that: another instance may find one earlier
+microseconds timeToNextSend(const std::vector<const upstream_state*>& upstreams, monotonic_time now)
 {
-    return keepIf(upstreams, [&](const upstream_state* upstream) { return now >= upstream->nextLimitedSendAt; });
+    microseconds shortest = maxWaitForSend;
+    for (const auto* upstream : upstreams)
+        shortest = std::min<microseconds>(shortest, std::max(upstream->nextLimitedSendAt, upstream->pausedUntil) - now);
+    return shortest;
 }
 
 /// Reduces @p upstreams to those that pass @p test, unless none passes.
@@ -151,9 +156,10 @@
     const auto times = m_state.times.of(*query.rule);
     // Includes upstreams at their limit, so that each object keeps its upstreams from one request to the next.
     auto plan = planFor(allowed, m_state.settings);
-    auto sendable = withinLimits(allowed, now);
+    auto sendable = keepIf(allowed, [&](const upstream_state* upstream) { return acceptsNow(*upstream, now); });
     if (sendable.empty()) {
         result.reason = selection_reason::no_capacity;
+        result.wait = timeToNextSend(allowed, now);
         return result;
     }
     const auto sendableCount = sendable.size();
--- a/tests/unit/serving/request_flow_test.cpp
+++ b/tests/unit/serving/request_flow_test.cpp
@@ -363,4 +363,37 @@
     EXPECT_EQ(limited.requestCount() + other.requestCount(), 100);
 }
 
+TEST(request_flow, sends_nothing_to_an_upstream_for_as_long_as_its_503_asks_for)
+{
+    raw_upstream paused(answering("503 Service Unavailable", "X-Not-Run: 1\r\nRetry-After: 1.2\r\n"));
+    raw_upstream other(answering("200 OK"));
+    serving_fixture node;
+    node.addUpstream("u-1", paused);
+    const auto refused = node.serve(serving_fixture::readRequest());
+    const auto answeredAt = monotonicNow();
+    ASSERT_TRUE(refused);
+    EXPECT_EQ(refused->status, 503);
+    EXPECT_EQ(node.serve(serving_fixture::readRequest())->status, 503);
+    node.addUpstream("u-2", other);
+    while (monotonicNow() < answeredAt + milliseconds(1000))
+        serveReads(node, 5);
+    EXPECT_EQ(paused.requestCount(), 1);
+    node.run(milliseconds(300));
+    node.state.upstreams.remove(upstream_id("u-2"), monotonicNow());
+    serveReads(node, 1);
+    EXPECT_EQ(paused.requestCount(), 2);
+}
+
+TEST(request_flow, takes_no_number_for_a_limit_or_pause_that_is_none)
+{
+    const std::vector<std::string> values { "-1", "nan", "inf", "1e999", "soon", "", "2 s" };
+    for (const auto& value : values) {
+        raw_upstream upstream(answering("200 OK", "X-Limit: " + value + "\r\nRetry-After: " + value + "\r\n"));
+        serving_fixture node;
+        node.addUpstream("u-1", upstream);
+        serveReads(node, 12);
+        EXPECT_EQ(upstream.requestCount(), 12) << value;
+    }
+}
+
 } // namespace flamingoroute
