--- a/src/flamingoroute/placement/upstream_directory.cpp
+++ b/src/flamingoroute/placement/upstream_directory.cpp
@@ -107,7 +107,7 @@
 bool upstream_directory::apply(const registered_upstream& entry, monotonic_time now)
 {
     const auto lastStart = lastStartOf(entry.name);
-    if (lastStart.startedAtMs > entry.startedAtMs)
+    if (lastStart.isLeaving && lastStart.startedAtMs > entry.startedAtMs)
         return false;
     const bool wasLeaving = lastStart.isLeaving && lastStart.startedAtMs == entry.startedAtMs;
     m_removed.erase(entry.name);
--- a/src/flamingoroute/placement/upstream_directory.hpp
+++ b/src/flamingoroute/placement/upstream_directory.hpp
@@ -20,7 +20,7 @@
 
     /// Adds or updates a listed upstream. A new start time or address under a known name resets the measured state. An
     /// upstream that is leaving remains so until it starts again, whatever later entries of the same start say.
-    /// @return false if the entry was ignored because a later start of the upstream is known
+    /// @return false if the entry was ignored because a later start of the upstream is known to be leaving
     bool apply(const registered_upstream& entry, monotonic_time now);
 
     /// Removes an upstream that is no longer listed.
--- a/tests/integration/platform_node_test.cpp
+++ b/tests/integration/platform_node_test.cpp
@@ -47,6 +47,26 @@
     }
 }
 
+/// @return entries of upstreams as another writer may leave them
+std::vector<std::string> oddEntries(const raw_upstream& upstream)
+{
+    constexpr int depth = 100'000;
+    const std::string good = upstreamText(upstream);
+    const std::string rest = good.substr(1);
+    const auto with = [&](const std::string& from, const std::string& to) {
+        std::string text = good;
+        return text.replace(text.find(from), from.size(), to);
+    };
+    return { R"({"extra":)" + std::string(depth, '[') + std::string(depth, ']') + "," + rest,
+        R"({"extra":)" + std::string(500, '[') + std::string(500, ']') + "," + rest, R"({"extra":1e999,)" + rest,
+        R"({"extra":-1e999,)" + rest, R"({"extra":)" + std::string(400, '9') + "," + rest,
+        with("\"slots\":4", "\"slots\":4e400"), with("\"slots\":4", "\"slots\":99999999999999999999999"),
+        with("\"slots\":4", "\"slots\":4294967297"), with("\"born\":7", "\"born\":-7"),
+        with("\"born\":7", "\"born\":7e30"), with("\"sequence\":1", "\"sequence\":18446744073709551616"),
+        with(toString(upstream.target().address), "127.0.0.1:70000"), with("\"0ms\"", "\"1e400ms\""),
+        with("\"ready\"", "[]") };
+}
+
 bool waitFor(const std::function<bool()>& condition)
 {
     constexpr milliseconds step { 20 };
@@ -156,6 +176,23 @@
     EXPECT_EQ(leaving.requestCount(), 1);
 }
 
+TEST_F(platform_node_test, follows_the_list_of_upstreams_while_it_holds_odd_entries_of_another_writer)
+{
+    int number = 0;
+    for (const auto& entry : oddEntries(upstream)) {
+        store.put("servers", "odd-" + std::to_string(number), entry);
+        const std::string next = "u-good-" + std::to_string(number++);
+        store.put("servers", next, upstreamText(upstream));
+        ASSERT_TRUE(waitFor([&] { return node->log().find("upstream=" + next) != std::string::npos; }))
+            << entry.substr(0, 200);
+    }
+    EXPECT_EQ(node->send("o1", "k1", "GET", "/read/1").status, 200);
+    platform_node another("node-2", store.address());
+    EXPECT_TRUE(another.waitUntilReady());
+    EXPECT_EQ(another.send("o2", "k1", "GET", "/read/1").status, 200);
+    EXPECT_TRUE(node->process().isRunning());
+}
+
 TEST_F(platform_node_test, finishes_its_requests_after_sigterm_and_ends_with_exit_code_0)
 {
     std::thread caller([&] { EXPECT_EQ(node->send("e1", "k1", "GET", "/read/1").status, 200); });
