Do not take an answer without an id for that of the next request on a connection

With the earlier request's id on it the repetition was discarded already; without an id it was taken for the answer of the request that was open, which then went to a second upstream. An answer without an id now counts only as the first on its connection; later ones are discarded like those of other requests, and the connection is not reused. Evidence: the new test of request_flow fails before (503 to the caller for a request that runs) and passes after.

--- a/src/flamingoroute/proxy/client_connection.cpp
+++ b/src/flamingoroute/proxy/client_connection.cpp
@@ -234,7 +234,9 @@
     auto headers = headersOf(message);
     const bool isInterim = status < 200;
     const std::string id = m_idHeader.empty() ? std::string() : headerValue(headers, m_idHeader);
-    const bool hasOtherId = !m_requestId.empty() && !id.empty() && id != m_requestId;
+    // Behind an earlier request, an answer without an id may be a repetition of that request's answer.
+    const bool isUnattributable = id.empty() && m_hasAnswered;
+    const bool hasOtherId = !m_requestId.empty() && (isUnattributable || (!id.empty() && id != m_requestId));
     if (isInterim || hasOtherId) {
         m_mayReuse = m_mayReuse && !hasOtherId;
         m_reader = std::make_unique<answer_reader>(m_isHead);
@@ -243,6 +245,7 @@
     m_mayReuse = m_mayReuse && message.keep_alive() && !m_isWriting && m_unread.empty();
     m_keepAliveFor = keepAliveFrom(headers);
     m_idleSince = monotonicNow();
+    m_hasAnswered = true;
     exchange_result result;
     result.outcome = attempt_outcome::answered;
     result.answer = caller_answer { status, std::move(headers), std::move(message.body()) };
--- a/src/flamingoroute/proxy/client_connection.hpp
+++ b/src/flamingoroute/proxy/client_connection.hpp
@@ -19,8 +19,9 @@
 
 /// A connection to an upstream or to the platform's store; carries one request at a time.
 ///
-/// Only a complete answer is accepted. An answer with the id of another request is discarded. The connection is not
-/// reused after such an answer, after bytes behind an answer or while no request is open, or after a close.
+/// Only a complete answer is accepted. An answer with the id of another request is discarded, and so is one without an
+/// id unless it is the connection's first. The connection is not reused after such an answer, after bytes behind an
+/// answer or while no request is open, or after a close.
 class client_connection : public std::enable_shared_from_this<client_connection> {
 public:
     using done_callback = std::function<void(exchange_result)>;
@@ -81,6 +82,7 @@
     bool m_isWriting = false;
     bool m_isClosed = false;
     bool m_hasSent = false;
+    bool m_hasAnswered = false; ///< an earlier request on this connection was answered
     bool m_mayReuse = true;
     bool m_isHead = false;
 };
--- a/tests/unit/serving/request_flow_test.cpp
+++ b/tests/unit/serving/request_flow_test.cpp
@@ -396,4 +396,29 @@
     }
 }
 
+TEST(request_flow, does_not_take_the_repeated_refusal_of_an_earlier_request_for_that_of_the_next_one)
+{
+    for (const bool hasId : { true, false }) {
+        raw_upstream faulty([&](raw_upstream& self, StreamSocket& connection, int) {
+            const auto first = self.readRequest(connection);
+            const auto earlier = signedAnswer(first, "503 Service Unavailable", "X-Not-Run: 1\r\n");
+            raw_upstream::send(connection, earlier);
+            const auto second = self.readRequest(connection);
+            const std::string withoutId
+                = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+            raw_upstream::send(connection, hasId ? earlier : withoutId);
+            raw_upstream::send(connection, signedAnswer(second, "200 OK"));
+        });
+        serving_fixture node;
+        node.addUpstream("u-1", faulty);
+        EXPECT_EQ(node.serve(serving_fixture::orderRequest())->status, 503);
+        auto next = serving_fixture::orderRequest();
+        next.headers[1].value = "id-2";
+        const auto answer = node.serve(next);
+        ASSERT_TRUE(answer);
+        EXPECT_EQ(answer->status, 200) << "with id: " << hasId;
+        EXPECT_EQ(faulty.connectionCount(), 1);
+    }
+}
+
 } // namespace flamingoroute
