Bound the memory of answers without end over all connections

A head was bounded already. A body was bounded at 64 MB for each answer, so a few of them at once exceeded the memory of a machine, and interim answers were read until the deadline. Fix: incomplete bodies share a sixth of the process's memory limit, and an answer that finds none left fails; at most 16 answers that belong to no open request are skipped.

--- a/src/flamingoroute/proxy/client_connection.cpp
+++ b/src/flamingoroute/proxy/client_connection.cpp
@@ -1,5 +1,6 @@
 #include "flamingoroute/proxy/client_connection.hpp"
 
+#include "flamingoroute/proxy/byte_budget.hpp"
 #include "flamingoroute/proxy/http_text.hpp"
 #include "flamingoroute/proxy/internal/beast_fields.hpp"
 #include "flamingoroute/requests/header_rules.hpp"
@@ -22,6 +23,8 @@
 namespace {
 
 constexpr std::size_t maxAnswerBytes = 64U << 20U;
+/// Interim answers and answers of other requests before the awaited one.
+constexpr int maxDiscardedAnswers = 16;
 constexpr std::uint32_t maxAnswerHeaderBytes = 64U << 10U;
 /// Longer than any acknowledgement between two regions takes, shorter than the timeout of most callers.
 constexpr int unacknowledgedTimeoutMs = 2000;
@@ -64,21 +67,46 @@
 
 struct client_connection::answer_reader {
     http::response_parser<http::string_body> parser;
+    std::shared_ptr<byte_budget> budget;
+    std::size_t taken = 0; ///< bytes of the budget
 
-    explicit answer_reader(bool isHead)
+    answer_reader(bool isHead, std::shared_ptr<byte_budget> sharedBudget)
+        : budget(std::move(sharedBudget))
     {
         parser.body_limit(maxAnswerBytes);
         parser.header_limit(maxAnswerHeaderBytes);
         parser.eager(true);
         parser.skip(isHead);
     }
+
+    ~answer_reader()
+    {
+        if (budget)
+            budget->release(taken);
+    }
+
+    answer_reader(const answer_reader&) = delete;
+    answer_reader& operator=(const answer_reader&) = delete;
+
+    /// @return whether the body read so far fits into the budget
+    bool isWithinBudget()
+    {
+        const auto size = parser.get().body().size();
+        if (!budget || size <= taken)
+            return true;
+        const bool fits = budget->take(size - taken);
+        taken = fits ? size : taken;
+        return fits;
+    }
 };
 
-client_connection::client_connection(asio::io_context& loop, const endpoint& peer, std::string idHeader)
+client_connection::client_connection(
+    asio::io_context& loop, const endpoint& peer, std::string idHeader, std::shared_ptr<byte_budget> budget)
     : m_socket(loop)
     , m_connectTimer(loop)
     , m_peer(peer)
     , m_idHeader(std::move(idHeader))
+    , m_budget(std::move(budget))
     , m_keepAliveFor(defaultKeepAlive)
 {
 }
@@ -95,11 +123,12 @@
 {
     m_done = std::move(done);
     m_hasSent = false;
+    m_discardedAnswers = 0;
     m_connectTime = microseconds(0);
     m_isHead = request.method == "HEAD";
     m_requestId = m_idHeader.empty() ? std::string() : headerValue(request.headers, m_idHeader);
     m_outgoing = serializeHttp(request);
-    m_reader = std::make_unique<answer_reader>(m_isHead);
+    m_reader = std::make_unique<answer_reader>(m_isHead, m_budget);
     if (m_isConnected)
         write();
     else
@@ -193,12 +222,17 @@
         socket_error errorCode;
         const std::size_t used = m_reader->parser.put(asio::buffer(m_unread), errorCode);
         m_unread.erase(0, used);
-        if (errorCode == http::error::need_more)
-            return;
-        if (errorCode) {
+        const bool needsMore = errorCode == http::error::need_more;
+        if (errorCode && !needsMore) {
             fail("read", "malformed answer: " + errorCode.message(), false, false);
             return;
         }
+        if (!m_reader->isWithinBudget()) {
+            fail("read", "answer too large for the memory that is left", false, false);
+            return;
+        }
+        if (needsMore)
+            return;
         if (m_reader->parser.is_done())
             onAnswer();
         else if (used == 0)
@@ -238,8 +272,12 @@
     const bool isUnattributable = id.empty() && m_hasAnswered;
     const bool hasOtherId = !m_requestId.empty() && (isUnattributable || (!id.empty() && id != m_requestId));
     if (isInterim || hasOtherId) {
+        if (++m_discardedAnswers > maxDiscardedAnswers) {
+            fail("read", "too many answers that belong to no open request", false, false);
+            return;
+        }
         m_mayReuse = m_mayReuse && !hasOtherId;
-        m_reader = std::make_unique<answer_reader>(m_isHead);
+        m_reader = std::make_unique<answer_reader>(m_isHead, m_budget);
         return;
     }
     m_mayReuse = m_mayReuse && message.keep_alive() && !m_isWriting && m_unread.empty();
@@ -249,6 +287,7 @@
     exchange_result result;
     result.outcome = attempt_outcome::answered;
     result.answer = caller_answer { status, std::move(headers), std::move(message.body()) };
+    m_reader.reset();
     finish(std::move(result));
 }
 
--- a/src/flamingoroute/proxy/client_connection.hpp
+++ b/src/flamingoroute/proxy/client_connection.hpp
@@ -17,6 +17,8 @@
 
 namespace flamingoroute {
 
+class byte_budget;
+
 /// A connection to an upstream or to the platform's store; carries one request at a time.
 ///
 /// Only a complete answer is accepted. An answer with the id of another request is discarded, and so is one without an
@@ -28,7 +30,9 @@
 
     /// @param peer address to connect to
     /// @param idHeader header with the request id, which an answer must not contradict; empty: no check
-    client_connection(boost::asio::io_context& loop, const endpoint& peer, std::string idHeader);
+    /// @param budget memory for incomplete bodies; null: each answer is bounded by itself only
+    client_connection(boost::asio::io_context& loop, const endpoint& peer, std::string idHeader,
+        std::shared_ptr<byte_budget> budget = nullptr);
     ~client_connection();
 
     /// Sends @p request; connects first if there is no connection yet.
@@ -67,6 +71,7 @@
     boost::asio::steady_timer m_connectTimer;
     endpoint m_peer;
     std::string m_idHeader;
+    std::shared_ptr<byte_budget> m_budget;
     std::string m_requestId;
     std::string m_outgoing;
     std::array<char, 16384> m_incoming {};
@@ -82,6 +87,7 @@
     bool m_isWriting = false;
     bool m_isClosed = false;
     bool m_hasSent = false;
+    int m_discardedAnswers = 0; ///< while the open request waits for its answer
     bool m_hasAnswered = false; ///< an earlier request on this connection was answered
     bool m_mayReuse = true;
     bool m_isHead = false;
--- a/src/flamingoroute/serving/serving_state.hpp
+++ b/src/flamingoroute/serving/serving_state.hpp
@@ -28,6 +28,9 @@
 
 class request_flow;
 
+/// Part of the memory for answers that are not complete yet; a complete one is copied once on its way to the caller.
+inline constexpr std::size_t answerMemoryDivisor = 6;
+
 /// State shared by all requests of an instance. Accessed only from the event loop's thread.
 struct serving_state {
     serving_state(boost::asio::io_context& ioContext, const node_settings& nodeSettings, const header_names& names,
@@ -43,7 +46,7 @@
         , cold(nodeSettings.instance, nodeSettings.bounds.coldRateFactor, nodeSettings.bounds.coldSlack)
         , quarantine(quarantine_limits {})
         , paths(nodeSettings.region)
-        , connections(ioContext, names.requestId)
+        , connections(ioContext, names.requestId, nodeSettings.memoryLimitBytes / answerMemoryDivisor)
     {
     }
 
--- a/src/flamingoroute/serving/upstream_connection_pool.cpp
+++ b/src/flamingoroute/serving/upstream_connection_pool.cpp
@@ -1,5 +1,7 @@
 #include "flamingoroute/serving/upstream_connection_pool.hpp"
 
+#include "flamingoroute/proxy/byte_budget.hpp"
+
 namespace flamingoroute {
 
 namespace {
@@ -8,9 +10,11 @@
 
 } // namespace
 
-upstream_connection_pool::upstream_connection_pool(boost::asio::io_context& loop, std::string idHeader)
+upstream_connection_pool::upstream_connection_pool(
+    boost::asio::io_context& loop, std::string idHeader, std::size_t maxAnswerBytes)
     : m_loop(loop)
     , m_idHeader(std::move(idHeader))
+    , m_answerBytes(std::make_shared<byte_budget>(maxAnswerBytes))
 {
 }
 
@@ -29,7 +33,7 @@
         return connection;
     }
     ++m_opened;
-    return std::make_shared<client_connection>(m_loop, upstream.address, m_idHeader);
+    return std::make_shared<client_connection>(m_loop, upstream.address, m_idHeader, m_answerBytes);
 }
 
 void upstream_connection_pool::release(
--- a/src/flamingoroute/serving/upstream_connection_pool.hpp
+++ b/src/flamingoroute/serving/upstream_connection_pool.hpp
@@ -17,7 +17,8 @@
 class upstream_connection_pool {
 public:
     /// @param idHeader name of the header whose value an answer must repeat from its request
-    upstream_connection_pool(boost::asio::io_context& loop, std::string idHeader);
+    /// @param maxAnswerBytes memory that the incomplete answers of all connections may use
+    upstream_connection_pool(boost::asio::io_context& loop, std::string idHeader, std::size_t maxAnswerBytes);
 
     /// @param maxIdleTime a kept connection that has been idle for longer is not reused
     /// @return a connection that carries no request
@@ -40,6 +41,7 @@
 
     boost::asio::io_context& m_loop;
     std::string m_idHeader;
+    std::shared_ptr<byte_budget> m_answerBytes;
     std::map<upstream_id, idle_list> m_idle;
     std::uint64_t m_opened = 0;
 };
--- a/src/flamingoroute/settings/node_settings.hpp
+++ b/src/flamingoroute/settings/node_settings.hpp
@@ -25,6 +25,7 @@
     std::map<failure_domain_id, region_id> regions; ///< region of each failure domain
     int linkMbps = 0; ///< bandwidth of the instance's network link; 0: unknown
     std::size_t fileDescriptorLimit = 1024; ///< maximum number of files and sockets that the process may open
+    std::size_t memoryLimitBytes = std::size_t { 256 } << 20U; ///< beyond this the process is killed
     bool isFirstStart = false; ///< the whole fleet, not just this node, starts for the first time
     fleet_bounds bounds;
 
--- a/tests/integration/platform_node_test.cpp
+++ b/tests/integration/platform_node_test.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <csignal>
 #include <cstdio>
+#include <fstream>
 #include <functional>
 #include <thread>
 
@@ -67,6 +68,29 @@
         with("\"ready\"", "[]") };
 }
 
+/// Reads a request, sends @p begin and then @p part until the connection is closed.
+raw_upstream::script answeringWithoutEnd(const std::string& begin, const std::string& part)
+{
+    return [=](raw_upstream& self, Poco::Net::StreamSocket& connection, int) {
+        self.readRequest(connection);
+        raw_upstream::send(connection, begin);
+        for (;;)
+            raw_upstream::send(connection, part);
+    };
+}
+
+/// @return the largest amount of memory that the process has used so far
+std::size_t peakMegabytes(pid_t process)
+{
+    constexpr std::size_t kilobytesPerMegabyte = 1024;
+    std::ifstream status("/proc/" + std::to_string(process) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.rfind("VmHWM:", 0) == 0)
+            return std::stoul(line.substr(line.find_first_of("0123456789"))) / kilobytesPerMegabyte;
+    }
+    return 0;
+}
+
 bool waitFor(const std::function<bool()>& condition)
 {
     constexpr milliseconds step { 20 };
@@ -193,6 +217,39 @@
     EXPECT_TRUE(node->process().isRunning());
 }
 
+TEST_F(platform_node_test, keeps_its_memory_while_answers_of_upstreams_have_no_end)
+{
+    constexpr std::size_t memoryLimitMb = 260;
+    constexpr int callers = 12;
+    const std::string bytes(65536, 'x');
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    raw_upstream endlessBody(
+        answeringWithoutEnd(ok + "Transfer-Encoding: chunked\r\n\r\n", "10000\r\n" + bytes + "\r\n"));
+    raw_upstream endlessRest(answeringWithoutEnd(ok + "Connection: close\r\n\r\n", bytes));
+    raw_upstream endlessHead(answeringWithoutEnd(ok, "X-More: " + bytes.substr(0, 100) + "\r\n"));
+    raw_upstream endlessInterim(answeringWithoutEnd(interim, interim));
+    store.remove("servers", "u-1");
+    int number = 0;
+    for (const auto* endless : { &endlessBody, &endlessRest, &endlessHead, &endlessInterim })
+        store.put("servers", "endless-" + std::to_string(number++), upstreamText(*endless));
+    ASSERT_TRUE(waitFor([&] { return node->log().find("upstream=endless-3") != std::string::npos; }));
+    std::vector<std::thread> threads;
+    for (int i = 0; i < callers; ++i) {
+        threads.emplace_back([&, i] {
+            const std::string id = "endless-" + std::to_string(i);
+            EXPECT_GE(node->send(id, "k1", "GET", "/read/" + id).status, 502);
+        });
+    }
+    for (auto& thread : threads)
+        thread.join();
+    EXPECT_LT(peakMegabytes(node->process().pid()), memoryLimitMb);
+    store.put("servers", "u-1", upstreamText(upstream));
+    for (int i = 0; i < number; ++i)
+        store.remove("servers", "endless-" + std::to_string(i));
+    EXPECT_TRUE(waitFor([&] { return node->send("after", "k1", "GET", "/read/1").status == 200; }));
+}
+
 TEST_F(platform_node_test, finishes_its_requests_after_sigterm_and_ends_with_exit_code_0)
 {
     std::thread caller([&] { EXPECT_EQ(node->send("e1", "k1", "GET", "/read/1").status, 200); });
