--- a/src/flamingoroute/runtime/serving_node.cpp
+++ b/src/flamingoroute/runtime/serving_node.cpp
@@ -174,7 +174,10 @@
             .with("failures", evidence.failures)
             .with("slow", evidence.slow)
             .with("other_attempts", evidence.otherAttempts)
+            .with("broken", evidence.broken)
             .with("other_failures", evidence.otherFailures)
+            .with("other_slow", evidence.otherSlow)
+            .with("other_broken", evidence.otherBroken)
             .with("revision", order.revision);
         m_store.putStatus(m_port.versionOrderKind, order.service.value(), m_port.encodeVersionOrderStatus(order),
             order.revision, [](const auto& written) {
