--- a/tests/integration/platform_node_test.cpp
+++ b/tests/integration/platform_node_test.cpp
@@ -217,6 +217,14 @@
     EXPECT_TRUE(node->process().isRunning());
 }
 
+TEST_F(platform_node_test, follows_the_list_of_upstreams_while_the_metadata_of_an_entry_are_odd)
+{
+    constexpr int depth = 1000;
+    store.put("servers", "odd", "{}", std::string(depth, '[') + std::string(depth, ']'));
+    store.put("servers", "u-good", upstreamText(upstream));
+    EXPECT_TRUE(waitFor([&] { return node->log().find("upstream=u-good") != std::string::npos; }));
+}
+
 TEST_F(platform_node_test, keeps_its_memory_while_answers_of_upstreams_have_no_end)
 {
     constexpr std::size_t memoryLimitMb = 260;
--- a/tests/support/platform/platform_store_stand_in.cpp
+++ b/tests/support/platform/platform_store_stand_in.cpp
@@ -94,11 +94,13 @@
     m_changed.notify_all();
 }
 
-void platform_store_stand_in::put(const std::string& kind, const std::string& name, const std::string& specification)
+void platform_store_stand_in::put(
+    const std::string& kind, const std::string& name, const std::string& specification, const std::string& finalizers)
 {
     const std::lock_guard lock(m_mutex);
     auto object = m_objects[kind][name];
     object.specification = specification;
+    object.finalizers = finalizers;
     store(kind, name, object, false);
 }
 
@@ -140,8 +142,8 @@
 std::string platform_store_stand_in::toJson(const std::string& name, const held_object& object)
 {
     return R"({"metadata":{"name":")" + name + R"(","revision":)" + std::to_string(object.revision)
-        + R"(,"created":1,"finalizers":[],"deleting":false},"specification":)" + orNull(object.specification)
-        + R"(,"status":)" + orNull(object.status) + "}";
+        + R"(,"created":1,"finalizers":)" + object.finalizers + R"(,"deleting":false},"specification":)"
+        + orNull(object.specification) + R"(,"status":)" + orNull(object.status) + "}";
 }
 
 std::string platform_store_stand_in::list(const std::string& kind) const
--- a/tests/support/platform/platform_store_stand_in.hpp
+++ b/tests/support/platform/platform_store_stand_in.hpp
@@ -29,7 +29,9 @@
     endpoint address() const { return m_address; }
 
     /// Creates an object or replaces its specification, like a write by the operator or an upstream.
-    void put(const std::string& kind, const std::string& name, const std::string& specification);
+    /// @param finalizers JSON, in the object's metadata
+    void put(const std::string& kind, const std::string& name, const std::string& specification,
+        const std::string& finalizers = "[]");
     void remove(const std::string& kind, const std::string& name);
 
     /// @return the status of an object, or an empty string
@@ -52,6 +54,7 @@
         std::uint64_t revision = 0;
         std::string specification;
         std::string status;
+        std::string finalizers = "[]";
     };
 
     struct change {
