--- a/tests/integration/platform_node_test.cpp
+++ b/tests/integration/platform_node_test.cpp
@@ -243,6 +243,7 @@
         store.put("servers", "endless-" + std::to_string(number++), upstreamText(*endless));
     ASSERT_TRUE(waitFor([&] { return node->log().find("upstream=endless-3") != std::string::npos; }));
     std::vector<std::thread> threads;
+    threads.reserve(callers);
     for (int i = 0; i < callers; ++i) {
         threads.emplace_back([&, i] {
             const std::string id = "endless-" + std::to_string(i);
--- a/tests/unit/serving/serving_fixture.cpp
+++ b/tests/unit/serving/serving_fixture.cpp
@@ -1,5 +1,7 @@
 #include "unit/serving/serving_fixture.hpp"
 
+#include <gtest/gtest.h>
+
 #include <thread>
 
 namespace flamingoroute::testing {
@@ -124,6 +126,16 @@
     return lastAnswer;
 }
 
+void serving_fixture::serveReads(int count)
+{
+    for (int i = 0; i < count; ++i) {
+        auto request = readRequest();
+        request.target += "-" + std::to_string(i);
+        request.headers[1].value = "id-" + std::to_string(i);
+        ASSERT_TRUE(serve(request));
+    }
+}
+
 void serving_fixture::run(milliseconds time)
 {
     const auto until = monotonicNow() + time;
@@ -133,6 +145,14 @@
     std::this_thread::sleep_until(until);
 }
 
+raw_upstream::script answering(const std::string& status, const std::string& extraHeaders)
+{
+    return [=](raw_upstream& self, Poco::Net::StreamSocket& connection, int) {
+        for (auto request = self.readRequest(connection); !request.empty(); request = self.readRequest(connection))
+            raw_upstream::send(connection, signedAnswer(request, status, extraHeaders));
+    };
+}
+
 std::string signedAnswer(const std::string& request, const std::string& status, const std::string& extraHeaders)
 {
     return "HTTP/1.1 " + status + "\r\nX-Request: " + headerIn(request, "X-Request") + "\r\nX-Signature: s\r\n"
--- a/tests/unit/serving/serving_fixture.hpp
+++ b/tests/unit/serving/serving_fixture.hpp
@@ -38,6 +38,9 @@
     /// @return the answer; empty if there is none within ten seconds
     std::optional<caller_answer> serve(http_request request);
 
+    /// Serves @p count read requests with different ids for different objects.
+    void serveReads(int count);
+
     /// Runs the event loop for @p time.
     void run(milliseconds time);
 
@@ -50,6 +53,9 @@
 /// @return a signed answer as an upstream sends it, with the id of @p request
 std::string signedAnswer(const std::string& request, const std::string& status, const std::string& extraHeaders = "");
 
+/// Answers each request of a connection with @p status.
+raw_upstream::script answering(const std::string& status, const std::string& extraHeaders = "");
+
 /// @return the value of a header in the text of a request
 std::string headerIn(const std::string& request, const std::string& name);
 
