Complete a version only if its own counts rule out that it is worse

Cause: a version was completed unless there was evidence against it, and there was hardly any evidence. Slowness counted from three times the time of an uncached object, nine times that of a cached one; waiting for a slot blurred the times of both versions; most of the exposure was used too late for its answers to count.

What is done: an attempt is compared with the time for its object, cached or not; at an upstream without a free slot its time says nothing. Bayes factors of the two versions' own counts decide, for failures and slowness. A version is completed once three failures in a hundred and eight slow answers in a hundred are ruled out; with too little evidence the order goes on after its deadline, for its duration once more at most. Upstreams that are slow as a whole are left out while they are few. More of the exposure is used early, and the trial under full load ends before the decision. version_order.against logs each attempt that counts against a version.

Changed: three tests of version_gate completed a version after 50 or 20 attempts, which proves nothing about three in a hundred; they use 150 now, and one an age within the trial's new place. An answer of an upstream that has just started counts as an attempt without a time instead of not at all.

--- a/src/flamingoroute/fleet/version_tally.hpp
+++ b/src/flamingoroute/fleet/version_tally.hpp
@@ -1,6 +1,8 @@
 #ifndef FLAMINGOROUTE_FLEET_VERSION_TALLY_HPP
 #define FLAMINGOROUTE_FLEET_VERSION_TALLY_HPP
 
+#include "flamingoroute/fleet/upstream_times.hpp"
+
 #include <msgpack.hpp>
 
 #include <cstdint>
@@ -22,6 +24,16 @@
     std::uint32_t broken = 0; ///< connection lost before the answer
     std::uint32_t otherBroken = 0;
     std::uint32_t otherSlow = 0;
+    std::uint32_t untimed = 0; ///< whose time says nothing about the version
+    std::uint32_t otherUntimed = 0;
+    std::vector<upstream_times> upstreams; ///< of the version under roll-out; at most maxUpstreams, the slowest first
+
+    /// Bounds the size of reports. With more upstreams, each receives too few attempts to show anything by itself.
+    static constexpr std::size_t maxUpstreams = 64;
+
+    /// Counts an attempt whose time is meaningful.
+    /// @param upstreamHash the hash of the upstream's name
+    void addTimed(std::uint64_t upstreamHash, bool isSlow);
 
     /// Adds the counts of @p part; the greater age applies.
     void add(const version_tally& part);
@@ -31,7 +43,8 @@
 
     bool operator==(const version_tally&) const = default;
     MSGPACK_DEFINE(
-        service, version, attempts, failures, slow, otherAttempts, otherFailures, ageMs, broken, otherBroken, otherSlow)
+        service, version, attempts, failures, slow, otherAttempts, otherFailures, ageMs, broken, otherBroken, otherSlow,
+        untimed, otherUntimed, upstreams)
 };
 
 /// Adds each of @p parts to the tally of the same service and version in @p totals, which gets it if there is none.
--- a/src/flamingoroute/moves/version_gate.hpp
+++ b/src/flamingoroute/moves/version_gate.hpp
@@ -26,8 +26,11 @@
 /// no I/O, clocks or threads.
 ///
 /// An untried version receives a share of the requests by hash of their ids, so that all instances keep the same share
-/// without coordination. Shortly before the deadline it receives all requests, unless the fleet's tallies show it to be
-/// bad: some faults appear under load only. The time of this switch follows from the remaining exposure.
+/// without coordination. Shortly before the deadline it receives all requests for a short time, unless the fleet's
+/// tallies show it to be bad: some faults appear under load only. The length of this trial follows from the remaining
+/// exposure. At the deadline the version is completed only if the tallies show it to be as good as the others; with too
+/// little evidence the order continues, with a greater share, for at most its duration once more. Only times may still
+/// be missing then, as they are under load.
 class version_gate {
 public:
     /// @param exposureShare the largest share of a service's requests that an untried version may receive
@@ -47,8 +50,10 @@
     version_filter filterFor(const service_id& service, std::uint64_t requestHash, monotonic_time now) const;
 
     /// Counts an attempt if its service has a running order.
+    /// @param upstreamHash the hash of its upstream's name
     /// @return whether the sample is against the ordered version, so that the tallies should be sent to the others soon
-    bool recordAttempt(const service_id& service, const version_id& version, version_sample sample);
+    bool recordAttempt(const service_id& service, const version_id& version, version_sample sample,
+        std::uint64_t upstreamHash = 0);
 
     /// @return the counts of this instance, with the age of each running order as known here
     std::vector<version_tally> tallies(monotonic_time now) const;
@@ -76,8 +81,12 @@
         std::optional<monotonic_time> badSince; ///< when the tallies first showed the version to be bad
     };
 
-    bool isSwitchDue(const running_order& running, monotonic_time now) const;
+    bool isTrialActive(const running_order& running, monotonic_time now) const;
+    double shareOf(const running_order& running, monotonic_time now) const;
     static std::uint64_t ageOf(const running_order& running, monotonic_time now);
+    static double rateOf(const running_order& running, monotonic_time now);
+    double allowedAttempts(const running_order& running, double perSecond) const;
+    double canaryShare(const running_order& running, monotonic_time now) const;
     microseconds trialTime(const running_order& running, monotonic_time now) const;
 
     double m_exposureShare;
--- a/src/flamingoroute/serving/attempt_recorder.cpp
+++ b/src/flamingoroute/serving/attempt_recorder.cpp
@@ -8,6 +8,7 @@
 #include "flamingoroute/serving/serving_state.hpp"
 #include "flamingoroute/serving/upstream_answer.hpp"
 #include "flamingoroute/serving/version_sampling.hpp"
+#include "flamingoroute/steering/internal/hash64.hpp"
 
 #include <algorithm>
 
@@ -40,7 +41,8 @@
     }
     // The connection of an unresponsive upstream was not lost: its answer is late.
     const auto shown = verdict == attempt_verdict::broken ? attempt_verdict::timed_out : verdict;
-    recordVersionSample({ shown, 0, coldRatioOf(monotonicNow() - m_sent.sentAt), m_sent.chosen.isCold });
+    recordVersionSample(
+        { shown, 0, expectedRatioOf(monotonicNow() - m_sent.sentAt), m_sent.chosen.isCold, isUpstreamFull() });
     recordReport(report);
 }
 
@@ -52,10 +54,24 @@
     return m_sent.chosen.isKnownWarm ? ratio : std::max(1.0, ratio);
 }
 
-double attempt_recorder::coldRatioOf(microseconds taken) const
+double attempt_recorder::expectedRatioOf(microseconds taken) const
 {
-    const auto cold = m_state.times.of(*m_request.rule).cold;
-    return static_cast<double>(taken.count()) / static_cast<double>(std::max<std::int64_t>(1, cold.count()));
+    // The smallest time in which an upstream usually answers for an object that it has not cached.
+    constexpr double minColdRatio = 0.6;
+    const auto times = m_state.times.of(*m_request.rule);
+    const auto ratioTo = [&](microseconds expected) {
+        return static_cast<double>(taken.count()) / static_cast<double>(std::max<std::int64_t>(1, expected.count()));
+    };
+    const bool isCached = m_sent.chosen.isKnownWarm || !m_request.rule->isSticky || ratioTo(times.cold) < minColdRatio;
+    return ratioTo(isCached ? times.warm : times.cold);
+}
+
+bool attempt_recorder::isUpstreamFull() const
+{
+    const auto* upstream = m_state.upstreams.find(m_sent.upstream.name);
+    const bool isFullNow
+        = upstream != nullptr && estimatedLoad(*upstream, monotonicNow()) >= upstream->registration.slots;
+    return m_sent.chosen.wait > microseconds(0) || isFullNow;
 }
 
 attempt_report attempt_recorder::reportOf(const exchange_result& result, const upstream_answer& interpretation) const
@@ -125,15 +141,28 @@
         && !m_sent.chosen.isCold;
     if (isTypical)
         m_state.times.update(*m_request.rule, taken, m_sent.chosen.isKnownWarm || !m_request.rule->isSticky);
-    recordVersionSample({ interpretation.verdict, result.answer.status, coldRatioOf(taken), m_sent.chosen.isCold });
+    const auto load = parseLoad(result.answer, m_state.headers);
+    const bool isReportedFull = load && load->running + load->waiting >= load->slots;
+    recordVersionSample({ interpretation.verdict, result.answer.status, expectedRatioOf(taken), m_sent.chosen.isCold,
+        isReportedFull || isUpstreamFull() });
 }
 
 void attempt_recorder::recordVersionSample(const attempt_evidence& evidence) const
 {
     const auto sample = versionSampleOf(evidence);
-    const bool isAgainstVersion
-        = sample && m_state.versions.recordAttempt(m_request.query.service, m_sent.upstream.version, *sample);
-    if (isAgainstVersion && m_state.reportSoon)
+    const bool isAgainstVersion = sample
+        && m_state.versions.recordAttempt(
+            m_request.query.service, m_sent.upstream.version, *sample, hash64(m_sent.upstream.name.value()));
+    if (!isAgainstVersion)
+        return;
+    event_line(log_level::info, "version_order.against")
+        .with("request", m_request.id)
+        .with("rule", m_request.rule->name)
+        .with("upstream", m_sent.upstream.name.value())
+        .with("status", evidence.status)
+        .with("time_percent", static_cast<std::int64_t>(100 * evidence.timeRatio))
+        .with("cached", m_sent.chosen.isKnownWarm ? 1 : 0);
+    if (m_state.reportSoon)
         m_state.reportSoon();
 }
 
--- a/src/flamingoroute/serving/attempt_recorder.hpp
+++ b/src/flamingoroute/serving/attempt_recorder.hpp
@@ -35,7 +35,11 @@
     void updateEstimates(const exchange_result& result, const upstream_answer& interpretation) const;
     void recordVersionSample(const attempt_evidence& evidence) const;
     double timeRatio() const;
-    double coldRatioOf(microseconds taken) const;
+    /// @return @p taken divided by the time that upstreams usually take for the request: with its object cached, or
+    ///         without if that is possible and explains the time
+    double expectedRatioOf(microseconds taken) const;
+    /// @return whether the attempt may have waited for a slot of its upstream
+    bool isUpstreamFull() const;
 
     serving_state& m_state;
     const admitted_request& m_request;
--- a/src/flamingoroute/serving/version_sampling.cpp
+++ b/src/flamingoroute/serving/version_sampling.cpp
@@ -4,22 +4,32 @@
 
 namespace {
 
-/// An attempt that takes longer than this multiple of the time for an uncached object counts as slow.
-constexpr double slowFactor = 3.0;
+/// An answer in a smaller fraction of the expected time took none of the work that the expectation is for.
+constexpr double minWorkRatio = 0.15;
+/// An attempt that takes longer than this multiple of the expected time counts as slow. Times of one version and one
+/// kind of request differ by far less.
+constexpr double slowFactor = 1.65;
 /// The same for an attempt that ran into its deadline: many rules time out before slowFactor is reached.
 constexpr double minTimeoutRatio = 1.5;
+/// The same for an attempt whose caller left early, which it does more often the longer it waits.
+constexpr double minAbandonedRatio = 3.0;
 /// Sent by an upstream that did not finish a request by its deadline.
 constexpr int timeoutStatus = 504;
 
-std::optional<version_sample> slowSample(const attempt_evidence& evidence)
+bool isTimeMeaningful(const attempt_evidence& evidence) { return !evidence.isUpstreamCold && !evidence.isUpstreamFull; }
+
+version_sample servedSample(const attempt_evidence& evidence)
 {
-    return evidence.isUpstreamCold ? std::nullopt : std::optional(version_sample::slow);
+    if (!isTimeMeaningful(evidence) || evidence.timeRatio < minWorkRatio)
+        return version_sample::untimed;
+    return evidence.timeRatio > slowFactor ? version_sample::slow : version_sample::good;
 }
 
-/// @return the sample of an attempt that was cancelled; its elapsed time is a lower bound
-std::optional<version_sample> cancelledSample(const attempt_evidence& evidence, double minRatio)
+/// @return the sample of an attempt that took at least as long as the evidence says, without an answer
+std::optional<version_sample> unansweredSample(const attempt_evidence& evidence, double minRatio)
 {
-    return evidence.coldRatio > minRatio ? slowSample(evidence) : std::nullopt;
+    const bool isSlow = isTimeMeaningful(evidence) && evidence.timeRatio > minRatio;
+    return isSlow ? std::optional(version_sample::slow) : std::nullopt;
 }
 
 } // namespace
@@ -28,15 +38,15 @@
 {
     switch (evidence.verdict) {
     case attempt_verdict::served:
-        return evidence.coldRatio > slowFactor ? slowSample(evidence) : std::optional(version_sample::good);
+        return servedSample(evidence);
     case attempt_verdict::failed:
-        return evidence.status == timeoutStatus ? slowSample(evidence) : std::optional(version_sample::failed);
+        return evidence.status == timeoutStatus ? unansweredSample(evidence, 0) : version_sample::failed;
     case attempt_verdict::broken:
         return version_sample::broken;
     case attempt_verdict::timed_out:
-        return cancelledSample(evidence, minTimeoutRatio);
+        return unansweredSample(evidence, minTimeoutRatio);
     case attempt_verdict::abandoned:
-        return cancelledSample(evidence, slowFactor);
+        return unansweredSample(evidence, minAbandonedRatio);
     case attempt_verdict::unreachable:
     case attempt_verdict::shed:
     case attempt_verdict::misdirected:
--- a/src/flamingoroute/serving/version_sampling.hpp
+++ b/src/flamingoroute/serving/version_sampling.hpp
@@ -12,8 +12,9 @@
 struct attempt_evidence {
     attempt_verdict verdict = attempt_verdict::served;
     int status = 0; ///< of the answer, if there is one
-    double coldRatio = 0; ///< elapsed time divided by the time that a healthy upstream takes for an uncached object
+    double timeRatio = 0; ///< elapsed time divided by the time that other upstreams take for an object cached as well
     bool isUpstreamCold = false; ///< an upstream that has just started is slow for some seconds, whatever its version
+    bool isUpstreamFull = false; ///< the attempt may have waited for a slot, which takes time whatever the version
 
     bool operator==(const attempt_evidence&) const = default;
 };
--- a/tests/unit/moves/version_gate_test.cpp
+++ b/tests/unit/moves/version_gate_test.cpp
@@ -102,7 +102,7 @@
 TEST(version_gate, delays_the_completion_by_the_rank_of_the_instance)
 {
     auto gate = gateWithOrder();
-    for (int i = 0; i < 50; ++i)
+    for (int i = 0; i < 150; ++i)
         gate.recordAttempt(service, newVersion, version_sample::good);
     gate.judge({}, at(15'000));
     EXPECT_EQ(gate.dueStates(0, at(15'500)).size(), 1U);
@@ -113,7 +113,7 @@
 TEST(version_gate, completes_a_good_version_just_before_its_deadline)
 {
     auto gate = gateWithOrder();
-    for (int i = 0; i < 50; ++i)
+    for (int i = 0; i < 150; ++i)
         gate.recordAttempt(service, newVersion, version_sample::good);
     gate.judge({}, at(15'000));
     EXPECT_TRUE(gate.dueStates(0, at(15'000)).empty());
@@ -122,6 +122,28 @@
     EXPECT_EQ(due.front().state, version_order_state::completed);
 }
 
+// EXPOSURE: too few attempts without a failure were taken for proof.
+TEST(version_gate, continues_an_order_with_too_little_evidence_after_its_deadline_and_rolls_it_back_in_the_end)
+{
+    auto gate = gateWithOrder();
+    for (int i = 0; i < 20; ++i)
+        gate.recordAttempt(service, newVersion, version_sample::good);
+    gate.judge({}, at(15'000));
+    EXPECT_TRUE(gate.dueStates(0, at(17'000)).empty());
+    int toNew = 0;
+    for (std::uint64_t hash = 0; hash < 1000; ++hash)
+        toNew += goesToNew(gate, hash, 17'000) ? 1 : 0;
+    EXPECT_GT(toNew, 300) << "the evidence should be there soon";
+    auto enough = gate;
+    for (int i = 0; i < 130; ++i)
+        enough.recordAttempt(service, newVersion, version_sample::good);
+    enough.judge({}, at(20'000));
+    ASSERT_EQ(enough.dueStates(0, at(20'000)).size(), 1U);
+    EXPECT_EQ(enough.dueStates(0, at(20'000)).front().state, version_order_state::completed);
+    ASSERT_EQ(gate.dueStates(0, at(32'000)).size(), 1U);
+    EXPECT_EQ(gate.dueStates(0, at(32'000)).front().state, version_order_state::rolled_back);
+}
+
 TEST(version_gate, rolls_back_a_version_by_the_failures_of_the_whole_fleet)
 {
     auto gate = gateWithOrder();
@@ -150,9 +172,9 @@
     gate.recordVersion(service, newVersion, true, at(0));
     gate.recordOrder(orderOf(), at(0));
     EXPECT_FALSE(goesToNew(gate, 2, 5000));
-    gate.judge({ tallyOf(20, 0, 13'000) }, at(3000));
+    gate.judge({ tallyOf(150, 0, 12'200) }, at(3000));
     EXPECT_TRUE(goesToNew(gate, 2, 5000));
-    gate.judge({ tallyOf(20, 0, 15'900) }, at(5900));
+    gate.judge({ tallyOf(150, 0, 15'900) }, at(5900));
     ASSERT_EQ(gate.dueStates(0, at(5900)).size(), 1U);
     EXPECT_EQ(gate.dueStates(0, at(5900)).front().state, version_order_state::completed);
 }
