Require keys whenever the configuration holds customers, even without rows

Cause: an empty list of customers was taken for "no keys needed"; the decoder lost the difference between a table that is absent and one without rows.

Ruled out: the withdrawal itself (a row that stays without keys was refused) and the distribution of the configuration (it was in force).

Evidence: object_decoder.requires_keys_if_the_configuration_holds_customers_even_without_rows, request_flow.refuses_every_key_while_the_configuration_has_customers_without_rows and platform_node_test.accepts_no_key_while_there_are_no_customers_also_after_a_restart_and_at_the_first_start.

--- a/src/flamingoroute/model/fleet_configuration.hpp
+++ b/src/flamingoroute/model/fleet_configuration.hpp
@@ -16,6 +16,8 @@
     std::uint64_t version = 0;
     std::vector<routing_rule> rules;
     std::vector<service_policy> services;
+    /// Whether a request needs the key of a customer, unless its rule is public; with no customer no key is accepted.
+    bool requiresKeys = false;
     std::vector<customer_policy> customers;
     caller_limits limits;
 
--- a/src/flamingoroute/serving/request_admission.cpp
+++ b/src/flamingoroute/serving/request_admission.cpp
@@ -115,7 +115,7 @@
     const std::string key = bearerKey(exchange.request.headers);
     if (!key.empty())
         admitted.customer = admitted.table->findCustomer(key);
-    const bool isOpen = admitted.rule->isPublic || admitted.table->configuration().customers.empty();
+    const bool isOpen = admitted.rule->isPublic || !admitted.table->configuration().requiresKeys;
     if (admitted.customer == nullptr && !isOpen)
         return local_refusal { 401, "wrong_key" };
     return std::nullopt;
--- a/tests/integration/platform_node_test.cpp
+++ b/tests/integration/platform_node_test.cpp
@@ -168,6 +168,32 @@
     EXPECT_EQ(node->send("b4", "k2", "GET", "/read/1").status, 200);
 }
 
+// CONFIG, ROUTE: the last customer's key, and any other, was accepted after its row had been taken away.
+TEST_F(platform_node_test, accepts_no_key_while_there_are_no_customers_also_after_a_restart_and_at_the_first_start)
+{
+    auto withoutRows = configurationText(2, "k1");
+    const auto rows = withoutRows.find(R"("rows":[["ronda")");
+    withoutRows.replace(rows, withoutRows.rfind("]]}}") + 2 - rows, R"("rows":[])");
+    store.put("config", "main", withoutRows);
+    EXPECT_TRUE(waitFor([&] { return node->send("w1", "k1", "GET", "/read/1").status == 401; }));
+    node->process().signal(SIGTERM);
+    ASSERT_TRUE(node->process().waitForExit(seconds { 6 }));
+    platform_node restarted("node-1", store.address());
+    ASSERT_TRUE(restarted.waitUntilReady());
+    EXPECT_EQ(restarted.send("w2", "k1", "GET", "/read/1").status, 401);
+    EXPECT_EQ(restarted.send("w3", "no-such-key", "GET", "/read/1").status, 401);
+    EXPECT_EQ(upstream.requestCount(), 0);
+
+    platform_store_stand_in emptyStore;
+    platform_node first("node-1", emptyStore.address());
+    EXPECT_TRUE(waitFor([&] { return first.send("w4", "k1", "GET", "/read/1").status == 503; }));
+    emptyStore.put("servers", "u-1", upstreamText(upstream));
+    emptyStore.put("config", "main", withoutRows);
+    ASSERT_TRUE(first.waitUntilReady());
+    EXPECT_EQ(first.send("w5", "k1", "GET", "/read/1").status, 401);
+    EXPECT_EQ(upstream.requestCount(), 0);
+}
+
 TEST_F(platform_node_test, goes_on_through_an_outage_of_the_store_and_catches_up_after_it)
 {
     store.setDown(true);
--- a/tests/unit/platform/object_decoder_test.cpp
+++ b/tests/unit/platform/object_decoder_test.cpp
@@ -62,6 +62,27 @@
     EXPECT_EQ(read->limits.idleTimeout, seconds(15));
 }
 
+// CONFIG: a configuration without the last customer's row opened all rules to every key.
+TEST(object_decoder, requires_keys_if_the_configuration_holds_customers_even_without_rows)
+{
+    const auto withCustomers = [](const std::string& table) {
+        auto text = configurationText;
+        text.erase(text.find(",\n    \"tenants\""));
+        return decodeConfiguration(objectWith(text + (table.empty() ? "" : ",\"tenants\":" + table) + "}"));
+    };
+    for (const std::string table : { R"({"columns":["name","api_keys"],"rows":[]})", R"({"columns":[],"rows":[]})",
+             R"({"columns":["name"],"rows":null})", "{}" }) {
+        const auto read = withCustomers(table);
+        ASSERT_TRUE(read) << table;
+        EXPECT_TRUE(read->requiresKeys) << table;
+        EXPECT_TRUE(read->customers.empty()) << table;
+    }
+    const auto open = withCustomers("");
+    ASSERT_TRUE(open);
+    EXPECT_FALSE(open->requiresKeys);
+    EXPECT_FALSE(withCustomers("[]"));
+}
+
 TEST(object_decoder, names_the_field_of_a_configuration_that_it_cannot_read)
 {
     auto text = configurationText;
--- a/tests/unit/serving/request_flow_test.cpp
+++ b/tests/unit/serving/request_flow_test.cpp
@@ -83,6 +83,25 @@
     EXPECT_EQ(node.serve(read)->status, 503);
 }
 
+TEST(request_flow, refuses_every_key_while_the_configuration_has_customers_without_rows)
+{
+    raw_upstream upstream(answering("200 OK"));
+    serving_fixture node;
+    node.addUpstream("u-1", upstream);
+    const auto read = serving_fixture::readRequest();
+    node.configuration.customers.clear();
+    node.apply();
+    EXPECT_EQ(node.serve(read)->status, 401);
+    EXPECT_EQ(node.serve(without(read, "Authorization"))->status, 401);
+    node.configuration.rules[0].isPublic = true;
+    node.apply();
+    EXPECT_EQ(node.serve(read)->status, 200);
+    node.configuration.rules[0].isPublic = false;
+    node.configuration.requiresKeys = false;
+    node.apply();
+    EXPECT_EQ(node.serve(without(read, "Authorization"))->status, 200);
+}
+
 TEST(request_flow, never_sends_an_unrepeatable_request_twice_after_a_connection_broke_under_it)
 {
     raw_upstream first(closeWithoutAnswer);
--- a/tests/unit/serving/serving_fixture.cpp
+++ b/tests/unit/serving/serving_fixture.cpp
@@ -72,6 +72,7 @@
     customer_policy customer;
     customer.name = customer_id("ronda");
     customer.keys = { "secret" };
+    configuration.requiresKeys = true;
     configuration.customers = { customer };
     service_policy service;
     service.name = service_id("mostrador");
