Open an address that is in use as soon as it is free instead of ending the process

Cause, reproduced with real processes: each listener was tried once. A process that is started while the one before it, or an outgoing connection, still has one of its addresses logged node.not_started and ended.

Why it works: the node takes the steps of its start in order and repeats the one whose address is in use, each 50 ms, and logs node.address_in_use once. Readiness opens first, so that the platform sees 503 meanwhile. The metrics' address comes last and stops nothing. An address that cannot be used at all still ends the start.

Whether this is what the users saw cannot be known without their logs.

--- a/src/flamingoroute/peers/peer_bus.cpp
+++ b/src/flamingoroute/peers/peer_bus.cpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <mutex>
 #include <thread>
+#include <utility>
 
 namespace flamingoroute {
 
@@ -98,7 +99,10 @@
         result = nng_listen(m_state->receiver, urlOf(where).c_str(), nullptr, 0);
     }
     if (result != 0) {
-        return tl::unexpected(error { error_code::unavailable, "peers.listen", toString(where), nng_strerror(result) });
+        if (std::exchange(m_state->isListening, false))
+            nng_close(m_state->receiver);
+        const auto code = result == NNG_EADDRINUSE ? error_code::conflict : error_code::unavailable;
+        return tl::unexpected(error { code, "peers.listen", toString(where), nng_strerror(result) });
     }
     m_state->receiveThread = std::thread([this, handler = std::move(handler)] { m_state->receiveLoop(handler); });
     return {};
--- a/src/flamingoroute/peers/peer_bus.hpp
+++ b/src/flamingoroute/peers/peer_bus.hpp
@@ -31,7 +31,8 @@
     /// Starts receiving.
     /// @param where the address to listen on
     /// @param handler called for each message
-    /// @return `unavailable` if the address cannot be used
+    /// @return `conflict` if the address is in use by another process, `unavailable` if it cannot be used at all; the
+    ///         call may be repeated after both
     tl::expected<void, error> listen(const endpoint& where, message_handler handler);
 
     /// Sends without blocking. Thread-safe.
--- a/src/flamingoroute/proxy/http_listener.cpp
+++ b/src/flamingoroute/proxy/http_listener.cpp
@@ -41,7 +41,10 @@
     if (!problem)
         m_acceptor.listen(acceptBacklog, problem);
     if (problem) {
-        return tl::unexpected(error { error_code::unavailable, "http.listen", toString(where), problem.message() });
+        const bool isInUse = problem == asio::error::address_in_use;
+        stopAccepting();
+        return tl::unexpected(error { isInUse ? error_code::conflict : error_code::unavailable, "http.listen",
+            toString(where), problem.message() });
     }
     accept();
     return {};
--- a/src/flamingoroute/proxy/http_listener.hpp
+++ b/src/flamingoroute/proxy/http_listener.hpp
@@ -25,7 +25,8 @@
 
     /// Starts accepting connections.
     /// @param maxConnections maximum number of open connections; further ones are closed immediately
-    /// @return `unavailable` if the address cannot be used
+    /// @return `conflict` if the address is in use by another process, `unavailable` if it cannot be used at all; the
+    ///         call may be repeated after both
     tl::expected<void, error> listen(const endpoint& where, std::size_t maxConnections);
 
     /// Stops accepting connections.
--- a/src/flamingoroute/runtime/serving_node.cpp
+++ b/src/flamingoroute/runtime/serving_node.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr milliseconds tickInterval { 100 };
+/// An earlier process releases its addresses some time after it was told to stop.
+constexpr milliseconds startRetryInterval { 50 };
 constexpr milliseconds leaveInterval { 50 };
 /// How long callers cache an answer; a leaving instance continues to serve for longer than that.
 constexpr milliseconds lookupTtl { 1500 };
@@ -69,6 +71,7 @@
     , m_metrics(
           loop, [this](auto exchange) { answerMetrics(*exchange); }, [] { return caller_limits {}; })
     , m_signals(loop, SIGTERM, SIGINT, SIGHUP)
+    , m_startTimer(loop)
     , m_timer(loop)
     , m_leaveTimer(loop)
 {
@@ -79,23 +82,63 @@
     const auto& settings = m_state.settings;
     const std::size_t callerConnections = settings.fileDescriptorLimit / callerDescriptorDivisor;
     waitForSignal();
-    auto started = m_gossip.start();
-    if (started)
-        started = m_readiness.listen(settings.readinessAddress, sideConnections);
-    if (started)
-        started = m_lookups.listen(settings.lookupAddress, callerConnections / 2);
-    if (started)
-        started = m_callers.listen(settings.callerAddress, callerConnections);
-    if (started && settings.metricsAddress.port != 0)
-        started = m_metrics.listen(settings.metricsAddress, sideConnections);
-    if (!started)
-        return started;
+    m_startSteps = {
+        [this, &settings] { return m_readiness.listen(settings.readinessAddress, sideConnections); },
+        [this] { return m_gossip.start(); },
+        [this, &settings, callerConnections] {
+            return m_lookups.listen(settings.lookupAddress, callerConnections / 2);
+        },
+        [this, &settings, callerConnections] { return m_callers.listen(settings.callerAddress, callerConnections); },
+        [this] {
+            startServing();
+            return tl::expected<void, error> {};
+        },
+    };
+    // Last, because a node serves without it, too.
+    if (settings.metricsAddress.port != 0)
+        m_startSteps.push_back([this, &settings] { return m_metrics.listen(settings.metricsAddress, sideConnections); });
+    return continueStart();
+}
+
+tl::expected<void, error> serving_node::continueStart()
+{
+    for (bool isFirstTry = true; !m_startSteps.empty(); isFirstTry = false) {
+        const auto done = m_startSteps.front()();
+        if (!done && done.error().code == error_code::conflict) {
+            if (!isFirstTry || !m_isStartWaiting)
+                event_line(log_level::warn, "node.address_in_use").with(done.error());
+            m_isStartWaiting = true;
+            retryStart();
+            return {};
+        }
+        if (!done)
+            return done;
+        m_isStartWaiting = false;
+        m_startSteps.pop_front();
+    }
+    return {};
+}
+
+void serving_node::retryStart()
+{
+    m_startTimer.expires_after(startRetryInterval);
+    m_startTimer.async_wait([this](const boost::system::error_code& cancelled) {
+        if (cancelled || m_state.isLeaving)
+            return;
+        if (const auto continued = continueStart(); !continued) {
+            event_line(log_level::error, "node.address_unusable").with(continued.error());
+            retryStart();
+        }
+    });
+}
+
+void serving_node::startServing()
+{
     event_line(log_level::info, "node.started")
-        .with("failure_domain", settings.failureDomain.value())
-        .with("callers", toString(settings.callerAddress));
+        .with("failure_domain", m_state.settings.failureDomain.value())
+        .with("callers", toString(m_state.settings.callerAddress));
     m_watch.start();
     tick();
-    return {};
 }
 
 void serving_node::registerSelf()
@@ -289,6 +332,7 @@
     event_line(log_level::info, "node.leaving").with("connections", m_callers.connectionCount());
     m_state.isLeaving = true;
     m_leavingSince = monotonicNow();
+    m_startTimer.cancel();
     updateReadiness();
     leaveStep();
 }
--- a/src/flamingoroute/runtime/serving_node.hpp
+++ b/src/flamingoroute/runtime/serving_node.hpp
@@ -13,6 +13,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <tl/expected.hpp>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -29,10 +30,17 @@
     serving_node(boost::asio::io_context& loop, const node_settings& settings, fleet_port port, watched_store& store,
         settings_reader readSettings);
 
-    /// Opens the listeners and starts to read the store.
+    /// Opens the listeners and starts to read the store. An address that another process still uses is opened as soon as
+    /// that process has released it; until then the node is not ready.
+    /// @return an error if an address cannot be used at all
     tl::expected<void, error> start();
 
 private:
+    /// Takes the next steps of the start, up to one whose address is in use.
+    tl::expected<void, error> continueStart();
+    void retryStart();
+    void startServing();
+
     void registerSelf();
     /// @param done called after the store has answered; may be empty
     void unregister(const instance_id& instance, std::function<void()> done);
@@ -68,11 +76,14 @@
     http_listener m_lookups;
     http_listener m_metrics;
     boost::asio::signal_set m_signals;
+    boost::asio::steady_timer m_startTimer;
     boost::asio::steady_timer m_timer;
     boost::asio::steady_timer m_leaveTimer;
+    std::deque<std::function<tl::expected<void, error>()>> m_startSteps; ///< those not taken yet
     monotonic_time m_leavingSince;
     std::map<service_id, monotonic_time> m_orderWrites; ///< when a state was last sent to the store
     bool m_isRegistering = false;
+    bool m_isStartWaiting = false; ///< the first of the steps left has found its address in use
 };
 
 } // namespace flamingoroute
--- a/tests/integration/platform_node_test.cpp
+++ b/tests/integration/platform_node_test.cpp
@@ -4,6 +4,8 @@
 #include "support/process/pipelining_caller.hpp"
 #include "support/process/raw_upstream.hpp"
 
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
 #include <gtest/gtest.h>
 
 #include <array>
@@ -337,6 +339,40 @@
     EXPECT_EQ(*code, 0);
 }
 
+// FAULT: a process whose address an earlier one had not released yet ended itself.
+TEST_F(platform_node_test, starts_as_soon_as_the_addresses_that_an_earlier_process_uses_are_free)
+{
+    for (const auto& address : { node->callers(), node->readiness(), node->lookups(), node->metrics(), node->peers() }) {
+        node->process().signal(SIGKILL);
+        ASSERT_TRUE(node->process().waitForExit(seconds { 6 }));
+        {
+            const Poco::Net::ServerSocket earlier(Poco::Net::SocketAddress(address.address, address.port));
+            node->restart();
+            const auto inUse = "step=" + std::string(address == node->peers() ? "peers" : "http") + ".listen peer="
+                + toString(address);
+            ASSERT_TRUE(waitFor([&] { return node->log().find(inUse) != std::string::npos; })) << inUse;
+            std::this_thread::sleep_for(milliseconds(200));
+            EXPECT_TRUE(node->process().isRunning()) << toString(address);
+        }
+        ASSERT_TRUE(node->waitUntilReady()) << toString(address) << node->log();
+        EXPECT_EQ(node->send("f1", "k1", "GET", "/read/1").status, 200);
+        EXPECT_TRUE(waitFor([&] { return callOnce(node->metrics(), "GET", "/metrics").status == 200; }));
+    }
+}
+
+TEST_F(platform_node_test, ends_with_exit_code_0_after_sigterm_while_an_address_is_in_use)
+{
+    node->process().signal(SIGKILL);
+    ASSERT_TRUE(node->process().waitForExit(seconds { 6 }));
+    const Poco::Net::ServerSocket earlier(Poco::Net::SocketAddress(node->callers().address, node->callers().port));
+    node->restart();
+    ASSERT_TRUE(waitFor([&] { return node->log().find("event=node.address_in_use") != std::string::npos; }));
+    node->process().signal(SIGTERM);
+    const auto code = node->process().waitForExit(seconds { 4 });
+    ASSERT_TRUE(code);
+    EXPECT_EQ(*code, 0);
+}
+
 TEST_F(platform_node_test, keeps_its_settings_and_logs_the_reason_when_the_settings_file_becomes_unreadable)
 {
     std::ofstream(node->settingsFile()) << "[self]\nnode_name = 7\n= nonsense";
--- a/tests/support/platform/platform_node.hpp
+++ b/tests/support/platform/platform_node.hpp
@@ -39,6 +39,7 @@
     const endpoint& callers() const { return m_callers; }
     const endpoint& readiness() const { return m_readiness; }
     const endpoint& lookups() const { return m_lookups; }
+    const endpoint& peers() const { return m_peers; }
     const endpoint& metrics() const { return m_metrics; }
 
 private:
