Bound the framing of bodies, from upstreams and from callers

Operators saw: a faulty upstream sent bytes that were no answer, without end; the machine kept them all, ran out of memory, and the requests of other clients ended with it (FAULT, LOST).

Cause: the parser bounds header and body. It waits for the end of a chunk's size, its extension or a trailer, and the bytes that it left meanwhile were kept without a bound. A caller could do the same.

Ruled out: heads and bodies without end, which were bounded and have a test.

Why it works: framing_meter bounds what may wait for the end of a line of framing, and all bytes of a message that are neither header nor body, in both directions. An upstream's answer fails, a caller gets 413.

--- a/src/flamingoroute/proxy/caller_connection.cpp
+++ b/src/flamingoroute/proxy/caller_connection.cpp
@@ -1,5 +1,6 @@
 #include "flamingoroute/proxy/caller_connection.hpp"
 
+#include "flamingoroute/proxy/framing_meter.hpp"
 #include "flamingoroute/proxy/http_text.hpp"
 #include "flamingoroute/proxy/internal/beast_fields.hpp"
 #include "flamingoroute/requests/header_rules.hpp"
@@ -49,11 +50,13 @@
 
 struct caller_connection::request_reader {
     http::request_parser<http::string_body> parser;
+    framing_meter framing;
     monotonic_time startedAt;
     bool hasSentContinue = false;
 
     explicit request_reader(const caller_limits& limits)
-        : startedAt(monotonicNow())
+        : framing(limits.headerBytes)
+        , startedAt(monotonicNow())
     {
         parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
         parser.body_limit(limits.bodyBytes);
@@ -120,12 +123,20 @@
         socket_error errorCode;
         const std::size_t used = m_reader->parser.put(asio::buffer(m_unread), errorCode);
         m_unread.erase(0, used);
-        if (errorCode == http::error::need_more) {
-            armTimer();
+        const bool needsMore = errorCode == http::error::need_more;
+        if (errorCode && !needsMore) {
+            reject(rejectionOf(errorCode));
             return;
         }
-        if (errorCode) {
-            reject(rejectionOf(errorCode));
+        const bool isOpen = !m_reader->parser.is_done();
+        const auto unread = isOpen ? m_unread.size() : 0;
+        if (!m_reader->framing.isWithinBounds(used, unread, m_reader->parser.get().body().size())) {
+            reject(plainAnswer(
+                Poco::Net::HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE, "the framing of the body is too large"));
+            return;
+        }
+        if (needsMore) {
+            armTimer();
             return;
         }
         if (m_reader->parser.is_done()) {
--- a/src/flamingoroute/proxy/client_connection.cpp
+++ b/src/flamingoroute/proxy/client_connection.cpp
@@ -1,6 +1,7 @@
 #include "flamingoroute/proxy/client_connection.hpp"
 
 #include "flamingoroute/proxy/byte_budget.hpp"
+#include "flamingoroute/proxy/framing_meter.hpp"
 #include "flamingoroute/proxy/http_text.hpp"
 #include "flamingoroute/proxy/internal/beast_fields.hpp"
 #include "flamingoroute/requests/header_rules.hpp"
@@ -67,6 +68,7 @@
 
 struct client_connection::answer_reader {
     http::response_parser<http::string_body> parser;
+    framing_meter framing { maxAnswerHeaderBytes };
     std::shared_ptr<byte_budget> budget;
     std::size_t taken = 0; ///< bytes of the budget
 
@@ -227,6 +229,11 @@
             fail("read", "malformed answer: " + errorCode.message(), false, false);
             return;
         }
+        const auto unread = m_reader->parser.is_done() ? 0 : m_unread.size();
+        if (!m_reader->framing.isWithinBounds(used, unread, m_reader->parser.get().body().size())) {
+            fail("read", "the framing of the answer's body is too large", false, false);
+            return;
+        }
         if (!m_reader->isWithinBudget()) {
             fail("read", "answer too large for the memory that is left", false, false);
             return;
