Ignore SIGHUP until the node handles it

Operators would see (FAULT): a process that was told of changed settings while it was starting ended itself, because the default action of SIGHUP applied until the node had set up its handler.

Cause: found while looking for other ways in which a start ends a process. Before the handler there are the settings file and the log.

Why it works: main() ignores the signal first. The settings are read after that, so the change is not missed.

--- a/apps/flamingo_node.cpp
+++ b/apps/flamingo_node.cpp
@@ -51,6 +51,8 @@
 
 int main(int argc, char** argv)
 {
+    // Until the node handles it: SIGHUP asks for settings that are read now anyway, and would end the process.
+    std::signal(SIGHUP, SIG_IGN);
     gflags::SetUsageMessage("flamingo-node [--settings=FILE] [--check_settings]");
     gflags::SetVersionString(FLAMINGOROUTE_VERSION);
     gflags::ParseCommandLineFlags(&argc, &argv, true);
--- a/tests/integration/platform_node_test.cpp
+++ b/tests/integration/platform_node_test.cpp
@@ -13,6 +13,7 @@
 #include <cstdio>
 #include <fstream>
 #include <functional>
+#include <sys/stat.h>
 #include <thread>
 
 namespace flamingoroute::testing {
@@ -407,6 +408,25 @@
     }
 }
 
+// FAULT: a change of the settings that was announced while a process started ended it.
+TEST_F(platform_node_test, survives_a_sighup_before_it_has_read_its_settings)
+{
+    node->process().signal(SIGKILL);
+    ASSERT_TRUE(node->process().waitForExit(seconds { 6 }));
+    const auto pipe = node->settingsFile() + ".pipe";
+    ASSERT_EQ(mkfifo(pipe.c_str(), S_IRUSR | S_IWUSR), 0);
+    child_process process(
+        std::string(FLAMINGOROUTE_BINARY_DIR) + "/flamingo-node", { "--settings=" + pipe }, node->logFile());
+    std::ofstream settings(pipe); // returns when the process has opened it, too
+    process.signal(SIGHUP);
+    std::this_thread::sleep_for(milliseconds(100));
+    EXPECT_TRUE(process.isRunning());
+    settings << std::ifstream(node->settingsFile()).rdbuf();
+    settings.close();
+    EXPECT_TRUE(node->waitUntilReady());
+    std::remove(pipe.c_str());
+}
+
 TEST_F(platform_node_test, ends_with_exit_code_0_after_sigterm_while_an_address_is_in_use)
 {
     node->process().signal(SIGKILL);
