--- a/tests/integration/platform_node_test.cpp
+++ b/tests/integration/platform_node_test.cpp
@@ -208,6 +208,28 @@
     EXPECT_TRUE(waitFor([&] { return node->send("c2", "k9", "GET", "/read/1").status == 200; }));
 }
 
+// CONFIG, DRAIN: calls made in the last moments of a silent outage never get an answer, and the next ones wait for them.
+TEST_F(platform_node_test, applies_changes_soon_after_a_silent_outage_in_whose_last_moments_it_called_the_store)
+{
+    constexpr milliseconds stableAfter { 4000 };
+    constexpr milliseconds applyBound { 2500 };
+    int version = 1;
+    for (const milliseconds outage : { milliseconds(2700), milliseconds(3300) }) {
+        store.setSilent(true);
+        std::this_thread::sleep_for(outage);
+        store.setSilent(false);
+        std::this_thread::sleep_for(stableAfter);
+        const auto key = "k" + std::to_string(++version);
+        const auto name = "u-after-" + key;
+        const auto changedAt = monotonicNow();
+        store.put("config", "main", configurationText(version, key));
+        store.put("servers", name, upstreamText(upstream));
+        EXPECT_TRUE(waitFor([&] { return node->send("s-" + key, key, "GET", "/read/1").status == 200; }));
+        EXPECT_TRUE(waitFor([&] { return node->log().find("upstream=" + name) != std::string::npos; }));
+        EXPECT_LT(monotonicNow() - changedAt, applyBound) << outage.count() << " ms";
+    }
+}
+
 TEST_F(platform_node_test, sends_an_upstream_no_request_while_its_failure_domain_is_evacuated)
 {
     store.put("evacuations", "centro-a", "{}");
--- a/tests/support/platform/platform_store_stand_in.cpp
+++ b/tests/support/platform/platform_store_stand_in.cpp
@@ -14,6 +14,8 @@
 
 #include <functional>
 
+#include <thread>
+
 namespace flamingoroute::testing {
 
 namespace {
@@ -209,6 +211,15 @@
     return toJson(name, object);
 }
 
+void platform_store_stand_in::waitWhileSilent() const
+{
+    constexpr std::chrono::milliseconds pollStep { 20 };
+    // A connection on which an answer was lost stays silent for good.
+    const bool isLost = m_isSilent;
+    while (isLost && !m_isStopping)
+        std::this_thread::sleep_for(pollStep);
+}
+
 void platform_store_stand_in::serve(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response)
 {
     const Poco::URI uri(request.getURI());
@@ -229,6 +240,7 @@
     Poco::StreamCopier::copyToString(request.stream(), body);
     int status = Poco::Net::HTTPResponse::HTTP_OK;
     std::string answer = "{}";
+    waitWhileSilent();
     if (m_isDown || path.size() < 2)
         status = Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE;
     else if (request.getMethod() != "GET")
@@ -237,6 +249,7 @@
         answer = watch(path[1], after, waitMs, status);
     else
         answer = list(path[1]);
+    waitWhileSilent();
     if (m_isLosingAnswers && request.getMethod() != "GET")
         throw Poco::IOException("answer dropped by the test");
     response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
--- a/tests/support/platform/platform_store_stand_in.hpp
+++ b/tests/support/platform/platform_store_stand_in.hpp
@@ -46,6 +46,9 @@
     /// While set, writes take effect but receive no answer.
     void setLosingAnswers(bool isLosing) { m_isLosingAnswers = isLosing; }
 
+    /// While set, calls receive no answer. Those made meanwhile receive none later either, as in a silent outage.
+    void setSilent(bool isSilent) { m_isSilent = isSilent; }
+
     /// Makes watches from a revision before the current one fail with 410, as after a compaction of the history.
     void dropHistory();
 
@@ -66,6 +69,7 @@
     };
 
     void serve(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response);
+    void waitWhileSilent() const;
     std::string list(const std::string& kind) const;
     std::string watch(const std::string& kind, std::uint64_t after, int waitMs, int& status);
     std::string write(
@@ -81,6 +85,7 @@
     std::uint64_t m_historyFrom = 0;
     std::atomic<bool> m_isDown { false };
     std::atomic<bool> m_isLosingAnswers { false };
+    std::atomic<bool> m_isSilent { false };
     std::atomic<bool> m_isStopping { false };
     endpoint m_address;
     std::unique_ptr<Poco::Net::HTTPServer> m_server;
