Reject a request whose body has a transfer coding other than chunks

Cause: the parser takes such a message for one without a body and leaves the decision to its user; nothing decided.

Why it works: a request is taken only if the end of its body is known by a length, by chunks as the only transfer coding, or because it has none; everything else is answered with 400 and ends the connection, as HTTP/1.1 asks. Other codings before the chunks are rejected, too: they cannot be removed here and would reach the upstream as the body.

--- a/src/flamingoroute/proxy/caller_connection.cpp
+++ b/src/flamingoroute/proxy/caller_connection.cpp
@@ -40,6 +40,16 @@
     return plainAnswer(Poco::Net::HTTPResponse::HTTP_BAD_REQUEST, "malformed request: " + errorCode.message());
 }
 
+/// @return whether the end of the request's body is known: by a length, by chunks as the only transfer coding, or as it
+///         has none. What follows a body that ends elsewhere would be taken for a request.
+template <typename Message> bool hasKnownFraming(const Message& message)
+{
+    const auto codings = message.equal_range(http::field::transfer_encoding);
+    return codings.first == codings.second
+        || (std::next(codings.first) == codings.second
+            && isSameHeaderName(std::string(codings.first->value()), "chunked"));
+}
+
 } // namespace
 
 struct caller_connection::pending_answer {
@@ -165,6 +175,10 @@
 {
     auto message = m_reader->parser.release();
     m_reader.reset();
+    if (!hasKnownFraming(message)) {
+        reject(plainAnswer(Poco::Net::HTTPResponse::HTTP_BAD_REQUEST, "unsupported transfer coding"));
+        return;
+    }
     auto exchange = std::make_shared<caller_exchange>();
     exchange->request.method = std::string(message.method_string());
     exchange->request.target = std::string(message.target());
@@ -214,10 +228,7 @@
     m_unread.clear();
 }
 
-bool caller_connection::hasRequestsBehind() const
-{
-    return !m_pending.empty() || m_reader || !m_unread.empty();
-}
+bool caller_connection::hasRequestsBehind() const { return !m_pending.empty() || m_reader || !m_unread.empty(); }
 
 void caller_connection::flush()
 {
--- a/tests/unit/proxy/caller_connection_test.cpp
+++ b/tests/unit/proxy/caller_connection_test.cpp
@@ -154,6 +154,22 @@
     EXPECT_TRUE(both.open.empty());
 }
 
+// UNASKED: a request inside a body of an unknown transfer coding was run, and the outer one with an empty body.
+TEST(caller_connection, rejects_a_request_whose_only_transfer_coding_is_not_chunked)
+{
+    for (const std::string coding : { "gzip", "identity", "chunked, identity", "gzip, chunked", "xchunked", "" }) {
+        listener_fixture node;
+        node.send(
+            "POST /outer HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: " + coding + "\r\n\r\n" + requestFor("/inner"));
+        EXPECT_TRUE(node.open.empty()) << coding;
+        EXPECT_EQ(node.receive().rfind("HTTP/1.1 400", 0), 0U) << coding;
+        EXPECT_TRUE(node.isClosed) << coding;
+    }
+    listener_fixture chunked;
+    chunked.send("POST /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: Chunked\r\n\r\n1\r\na\r\n0\r\n\r\n");
+    EXPECT_EQ(chunked.open.size(), 1U);
+}
+
 TEST(caller_connection, reports_a_caller_that_has_disconnected)
 {
     listener_fixture node;
