--- a/soak/soak_main.cpp
+++ b/soak/soak_main.cpp
@@ -14,6 +14,7 @@
 DEFINE_uint64(nodes, 5, "nodes");
 DEFINE_uint64(upstreams, 9, "upstreams");
 DEFINE_uint64(callers, 10, "callers");
+DEFINE_bool(only_restarts, false, "nodes are stopped, killed and restarted; nothing else fails");
 DEFINE_bool(verbose, false, "prints each fault");
 
 namespace {
@@ -40,6 +41,7 @@
     options.nodes = FLAGS_nodes;
     options.upstreams = FLAGS_upstreams;
     options.callers = FLAGS_callers;
+    options.hasOnlyRestarts = FLAGS_only_restarts;
     options.isVerbose = FLAGS_verbose;
     const auto result = soak::runSoak(options);
     std::cout << "seed " << seed << ": " << result.problems.size() << " problems; replies " << result.statuses
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -42,8 +42,7 @@
         const auto nodes = m_environment.nodeNames();
         while (!isOver) {
             const auto& node = nodes[m_random() % nodes.size()];
-            testing::pipelining_caller connection(
-                m_environment.callerAddress(node), milliseconds { deadlineMs + 500 });
+            testing::pipelining_caller connection(m_environment.callerAddress(node), milliseconds { deadlineMs + 500 });
             bool isAnswered = true;
             for (int i = 0; i < batchesPerConnection && isAnswered && !isOver; ++i) {
                 isAnswered = sendBatch(connection, node);
@@ -183,7 +182,9 @@
         const auto node = pickOne(m_environment.nodeNames());
         const auto upstream = pickOne(m_environment.upstreamNames());
         const auto domain = pickOne({ "centro-a", "centro-b", "oriente-a" });
-        switch (pick(16)) {
+        constexpr std::int64_t restartFaults = 3;
+        constexpr std::int64_t allFaults = 16;
+        switch (pick(m_options.hasOnlyRestarts ? restartFaults : allFaults)) {
         case 0:
         case 1:
             logFault("stop " + node);
--- a/src/flamingoroute/fleet/version_tally.hpp
+++ b/src/flamingoroute/fleet/version_tally.hpp
@@ -42,9 +42,8 @@
     void subtract(const version_tally& part);
 
     bool operator==(const version_tally&) const = default;
-    MSGPACK_DEFINE(
-        service, version, attempts, failures, slow, otherAttempts, otherFailures, ageMs, broken, otherBroken, otherSlow,
-        untimed, otherUntimed, upstreams)
+    MSGPACK_DEFINE(service, version, attempts, failures, slow, otherAttempts, otherFailures, ageMs, broken, otherBroken,
+        otherSlow, untimed, otherUntimed, upstreams)
 };
 
 /// Adds each of @p parts to the tally of the same service and version in @p totals, which gets it if there is none.
--- a/src/flamingoroute/moves/version_comparison.cpp
+++ b/src/flamingoroute/moves/version_comparison.cpp
@@ -104,8 +104,7 @@
     const double otherAttempts = counts.otherAttempts + priorAttempts;
     const double otherShare = std::min(maxShare, otherFaults / otherAttempts);
     const double badShare = std::min(maxShare, otherShare + excess);
-    const double commonShare
-        = std::min(maxShare, (counts.faults + otherFaults) / (counts.attempts + otherAttempts));
+    const double commonShare = std::min(maxShare, (counts.faults + otherFaults) / (counts.attempts + otherAttempts));
     return std::exp(logProbability(counts.faults, counts.attempts, badShare)
         + logProbability(otherFaults, otherAttempts, otherShare)
         - logProbability(counts.faults + otherFaults, counts.attempts + otherAttempts, commonShare));
--- a/src/flamingoroute/moves/version_gate.hpp
+++ b/src/flamingoroute/moves/version_gate.hpp
@@ -52,8 +52,8 @@
     /// Counts an attempt if its service has a running order.
     /// @param upstreamHash the hash of its upstream's name
     /// @return whether the sample is against the ordered version, so that the tallies should be sent to the others soon
-    bool recordAttempt(const service_id& service, const version_id& version, version_sample sample,
-        std::uint64_t upstreamHash = 0);
+    bool recordAttempt(
+        const service_id& service, const version_id& version, version_sample sample, std::uint64_t upstreamHash = 0);
 
     /// @return the counts of this instance, with the age of each running order as known here
     std::vector<version_tally> tallies(monotonic_time now) const;
--- a/src/flamingoroute/runtime/serving_node.cpp
+++ b/src/flamingoroute/runtime/serving_node.cpp
@@ -96,7 +96,8 @@
     };
     // Last, because a node serves without it, too.
     if (settings.metricsAddress.port != 0)
-        m_startSteps.push_back([this, &settings] { return m_metrics.listen(settings.metricsAddress, sideConnections); });
+        m_startSteps.push_back(
+            [this, &settings] { return m_metrics.listen(settings.metricsAddress, sideConnections); });
     return continueStart();
 }
 
--- a/src/flamingoroute/runtime/serving_node.hpp
+++ b/src/flamingoroute/runtime/serving_node.hpp
@@ -30,8 +30,8 @@
     serving_node(boost::asio::io_context& loop, const node_settings& settings, fleet_port port, watched_store& store,
         settings_reader readSettings);
 
-    /// Opens the listeners and starts to read the store. An address that another process still uses is opened as soon as
-    /// that process has released it; until then the node is not ready.
+    /// Opens the listeners and starts to read the store. An address that another process still uses is opened as soon
+    /// as that process has released it; until then the node is not ready.
     /// @return an error if an address cannot be used at all
     tl::expected<void, error> start();
 
--- a/tests/integration/platform_node_test.cpp
+++ b/tests/integration/platform_node_test.cpp
@@ -208,7 +208,8 @@
     EXPECT_TRUE(waitFor([&] { return node->send("c2", "k9", "GET", "/read/1").status == 200; }));
 }
 
-// CONFIG, DRAIN: calls made in the last moments of a silent outage never get an answer, and the next ones wait for them.
+// CONFIG, DRAIN: calls made in the last moments of a silent outage never get an answer, and the next ones wait for
+// them.
 TEST_F(platform_node_test, applies_changes_soon_after_a_silent_outage_in_whose_last_moments_it_called_the_store)
 {
     constexpr milliseconds stableAfter { 4000 };
@@ -328,15 +329,16 @@
     raw_upstream endlessExtension(answeringWithoutEnd(chunked + "1;a=", bytes));
     raw_upstream endlessSize(answeringWithoutEnd(chunked, std::string(65536, '0')));
     raw_upstream endlessTrailer(answeringWithoutEnd(chunked + "0\r\n", "X-More: " + bytes.substr(0, 1000) + "\r\n"));
-    raw_upstream extendedChunks(
-        answeringWithoutEnd(chunked, "1;a=" + bytes.substr(0, 16000) + "\r\nx\r\n"));
+    raw_upstream extendedChunks(answeringWithoutEnd(chunked, "1;a=" + bytes.substr(0, 16000) + "\r\nx\r\n"));
     store.remove("servers", "u-1");
     int number = 0;
     for (const auto* endless : { &endlessExtension, &endlessSize, &endlessTrailer, &extendedChunks })
         store.put("servers", "endless-" + std::to_string(number++), upstreamText(*endless));
     ASSERT_TRUE(waitFor([&] { return node->log().find("upstream=endless-3") != std::string::npos; }));
+    constexpr int callers = 12;
     std::vector<std::thread> threads;
-    for (int i = 0; i < 12; ++i) {
+    threads.reserve(callers);
+    for (int i = 0; i < callers; ++i) {
         threads.emplace_back([&, i] {
             const std::string id = "framing-" + std::to_string(i);
             EXPECT_GE(node->send(id, "k1", "GET", "/read/" + id).status, 502);
@@ -412,14 +414,15 @@
 // FAULT: a process whose address an earlier one had not released yet ended itself.
 TEST_F(platform_node_test, starts_as_soon_as_the_addresses_that_an_earlier_process_uses_are_free)
 {
-    for (const auto& address : { node->callers(), node->readiness(), node->lookups(), node->metrics(), node->peers() }) {
+    for (const auto& address :
+        { node->callers(), node->readiness(), node->lookups(), node->metrics(), node->peers() }) {
         node->process().signal(SIGKILL);
         ASSERT_TRUE(node->process().waitForExit(seconds { 6 }));
         {
             const Poco::Net::ServerSocket earlier(Poco::Net::SocketAddress(address.address, address.port));
             node->restart();
-            const auto inUse = "step=" + std::string(address == node->peers() ? "peers" : "http") + ".listen peer="
-                + toString(address);
+            const auto inUse = "step=" + std::string(address == node->peers() ? "peers" : "http")
+                + ".listen peer=" + toString(address);
             ASSERT_TRUE(waitFor([&] { return node->log().find(inUse) != std::string::npos; })) << inUse;
             std::this_thread::sleep_for(milliseconds(200));
             EXPECT_TRUE(node->process().isRunning()) << toString(address);
