Leave out upstreams of a new version that turn slow by themselves

Cause: an upstream was left out only if almost all of its answers were slow. One that turns slow, or is tried rarely, has good ones, too.

Why it works: three slow answers and three in ten are enough to leave an upstream out, as long as those left out have at most a third of the attempts. A version of which many answers are slow has many such upstreams, and nothing is left out.

Evidence: version_comparison.takes_one_slow_upstream_for_a_slow_upstream_and_many_for_a_slow_version, extended by an upstream that turns slow.

--- a/src/flamingoroute/moves/version_comparison.cpp
+++ b/src/flamingoroute/moves/version_comparison.cpp
@@ -52,11 +52,12 @@
         static_cast<double>(counts.otherFailures), static_cast<double>(counts.otherAttempts) };
 }
 
-/// An upstream almost all of whose answers are slow has a fault of its own, or the whole version is slow.
-bool isUniformlySlow(const upstream_times& times)
+/// An upstream with many slow answers has a fault of its own, or the whole version is slow. The fault may have
+/// begun after some answers.
+bool isSlowByItself(const upstream_times& times)
 {
-    constexpr std::uint32_t minSlow = 2;
-    constexpr double minSlowShare = 0.8;
+    constexpr std::uint32_t minSlow = 3;
+    constexpr double minSlowShare = 0.3;
     return times.slow >= minSlow && times.slow >= minSlowShare * times.timed;
 }
 
@@ -68,7 +69,7 @@
     double attempts = 0;
     double faults = 0;
     for (const auto& times : upstreams) {
-        if (!isUniformlySlow(times))
+        if (!isSlowByItself(times))
             continue;
         attempts += times.timed;
         faults += times.slow;
--- a/tests/unit/moves/version_comparison_test.cpp
+++ b/tests/unit/moves/version_comparison_test.cpp
@@ -108,6 +108,11 @@
     EXPECT_TRUE(isVersionProven(withSlowUpstreams(2)));
     EXPECT_TRUE(isVersionBad(withSlowUpstreams(6)));
     EXPECT_TRUE(isVersionBad(withSlowUpstreams(upstreams)));
+    auto slowFromThen = tallyWith(upstreams * attemptsEach, 800);
+    for (std::uint32_t i = 0; i < upstreams * attemptsEach; ++i)
+        slowFromThen.addTimed(i % upstreams, i % upstreams == 0 && i >= upstreams * attemptsEach / 2);
+    slowFromThen.slow = attemptsEach / 2;
+    EXPECT_FALSE(isVersionDoubtful(slowFromThen));
 }
 
 TEST(version_comparison, does_not_suspect_a_version_whose_times_say_nothing_under_load)
