Close a connection whose last answer was being written when it was told to close

Read in the diff: a connection that was told to close while its last answer was being written waited for the next call of closeWhenIdle(); a stop repeats it each 50 ms, so callers saw nothing but a delay. It closes behind that answer now. caller_connection.closes_after_an_answer_that_was_being_written_when_the_node_left covers it; it was not seen to fail, as a small answer is written at once.

--- a/src/flamingoroute/fleet/version_tally.hpp
+++ b/src/flamingoroute/fleet/version_tally.hpp
@@ -26,7 +26,7 @@
     std::uint32_t otherSlow = 0;
     std::uint32_t untimed = 0; ///< whose time says nothing about the version
     std::uint32_t otherUntimed = 0;
-    std::vector<upstream_times> upstreams; ///< of the version under roll-out; at most maxUpstreams, the slowest first
+    std::vector<upstream_times> upstreams; ///< of the version under roll-out, at most maxUpstreams
 
     /// Bounds the size of reports. With more upstreams, each receives too few attempts to show anything by itself.
     static constexpr std::size_t maxUpstreams = 64;
--- a/src/flamingoroute/proxy/caller_connection.cpp
+++ b/src/flamingoroute/proxy/caller_connection.cpp
@@ -269,6 +269,7 @@
     }
     flush();
     parseBytes();
+    closeIfIdle();
     read();
     armTimer();
 }
@@ -279,7 +280,13 @@
         return;
     m_closesWhenIdle = true;
     stopReadingRequests();
-    if (m_pending.empty() && !m_isWriting)
+    closeIfIdle();
+}
+
+/// Closes a connection whose last answer was written before it was told to close.
+void caller_connection::closeIfIdle()
+{
+    if (m_closesWhenIdle && !hasRequestsBehind() && !m_isWriting && !isClosing())
         closeSendingSide();
 }
 
--- a/src/flamingoroute/proxy/caller_connection.hpp
+++ b/src/flamingoroute/proxy/caller_connection.hpp
@@ -55,6 +55,7 @@
     void armTimer();
     void onTimer();
     void onDisconnected();
+    void closeIfIdle();
     void closeSendingSide();
     void close();
     /// @return whether the last answer was passed to the socket and the caller has not closed its side yet
--- a/src/flamingoroute/proxy/framing_meter.hpp
+++ b/src/flamingoroute/proxy/framing_meter.hpp
@@ -23,7 +23,7 @@
     /// @return whether the framing is within its bounds
     bool isWithinBounds(std::size_t used, std::size_t unread, std::size_t bodySize)
     {
-        /// A chunk of one byte has at least five bytes of framing.
+        // A chunk of one byte has at least five bytes of framing.
         constexpr std::size_t maxFramingPerBodyByte = 16;
         m_used += used;
         return unread <= m_maxBytes && m_used <= 2 * m_maxBytes + (1 + maxFramingPerBodyByte) * bodySize;
--- a/tests/unit/proxy/caller_connection_test.cpp
+++ b/tests/unit/proxy/caller_connection_test.cpp
@@ -275,6 +275,16 @@
     EXPECT_FALSE(node.listener().isBusy());
 }
 
+TEST(caller_connection, closes_after_an_answer_that_was_being_written_when_the_node_left)
+{
+    listener_fixture node;
+    node.send(requestFor("/1"));
+    node.open[0]->answer(answerWithBody("one"), false);
+    node.listener().drainConnections();
+    EXPECT_NE(node.receive().find("one"), std::string::npos);
+    EXPECT_TRUE(node.isClosed);
+}
+
 TEST(caller_connection, closes_for_a_leaving_node_although_the_caller_keeps_its_side_open)
 {
     listener_fixture node;
