Forward a relay's messages through the instances of its region

Change: each other failure domain gets one copy; within a failure domain at most six copies go out from one instance, and their receivers forward to a range of names (fleet/forwarding, fleet/message_forwarder). Which instances forward changes from message to message, so one that has ended is not missed twice in a row. A forwarder that was paused delivers late: digests are numbered, and an older one than the newest of its sender is ignored. Ruled out: eight copies (growth of the busiest with a power of 0.55 between 30 and 300 instances, 0.5 wanted), groups of two (a receiver missed three messages in a row while one instance in ten had ended). Tests: message_forwarder and digest_cache, without a network; the old code was not run against the byte test.

--- a/src/flamingoroute/fleet/digest_cache.cpp
+++ b/src/flamingoroute/fleet/digest_cache.cpp
@@ -37,16 +37,22 @@
     sortByCustomer(known.sum.demand);
 }
 
-void digest_cache::record(const region_digest& digest, monotonic_time now)
+bool digest_cache::record(const region_digest& digest, monotonic_time now)
 {
+    const auto known = m_relays.find(instance_id(digest.sender));
+    // After a step of the clock, numbers of a new process may be lower than those of the one before.
+    const bool isRecent = known != m_relays.end() && now - known->second.at < relayFreshFor;
+    if (isRecent && digest.number < known->second.digest.number)
+        return false;
     m_relays[instance_id(digest.sender)] = { digest, now };
     if (!digest.hasSums)
-        return;
+        return true;
     recordRegionSum(digest.sum, now);
     for (const auto& sum : digest.others) {
         if (sum.region != m_localRegion.value())
             recordRegionSum(sum, now);
     }
+    return true;
 }
 
 std::vector<region_sum> digest_cache::freshSums(monotonic_time now) const
--- a/src/flamingoroute/fleet/digest_cache.hpp
+++ b/src/flamingoroute/fleet/digest_cache.hpp
@@ -18,7 +18,9 @@
 public:
     explicit digest_cache(region_id localRegion);
 
-    void record(const region_digest& digest, monotonic_time now);
+    /// @return false if the digest was ignored because a later one of its sender has arrived: an instance that was
+    ///         paused forwards late
+    bool record(const region_digest& digest, monotonic_time now);
 
     /// @return the newest sum of each region with its age, without stale ones
     std::vector<region_sum> freshSums(monotonic_time now) const;
--- a/src/flamingoroute/fleet/fleet_members.cpp
+++ b/src/flamingoroute/fleet/fleet_members.cpp
@@ -224,6 +224,18 @@
     return result;
 }
 
+std::vector<forward_receiver> fleet_members::regionReceivers(monotonic_time now) const
+{
+    std::vector<forward_receiver> result;
+    for (const auto& name : m_regions.of(m_self.region).names) {
+        if (name == m_self.instance)
+            continue;
+        const auto& entry = m_others.at(name);
+        result.push_back({ entry.memberInfo, entry.isReportedReady && isFresh(entry, now) });
+    }
+    return result;
+}
+
 std::vector<endpoint> fleet_members::relaysOfOtherRegions(monotonic_time now) const
 {
     std::vector<endpoint> result;
@@ -278,7 +290,8 @@
 
 void fleet_members::recordDigest(const region_digest& digest, monotonic_time now)
 {
-    m_digests.record(digest, now);
+    if (!m_digests.record(digest, now))
+        return;
     for (const auto& readiness : digest.members) {
         const auto known = m_others.find(instance_id(readiness.instance));
         if (known == m_others.end())
--- a/src/flamingoroute/fleet/fleet_members.hpp
+++ b/src/flamingoroute/fleet/fleet_members.hpp
@@ -4,6 +4,7 @@
 #include "flamingoroute/fleet/demand_history.hpp"
 #include "flamingoroute/fleet/digest_cache.hpp"
 #include "flamingoroute/fleet/fleet_report.hpp"
+#include "flamingoroute/fleet/forwarding.hpp"
 #include "flamingoroute/fleet/rate_split.hpp"
 #include "flamingoroute/fleet/region_index.hpp"
 #include "flamingoroute/fleet/relay_choice.hpp"
@@ -73,6 +74,9 @@
     /// @return the other instances of this instance's region
     std::vector<member> regionOthers() const;
 
+    /// @return the same as receivers of a message that instances forward to each other
+    std::vector<forward_receiver> regionReceivers(monotonic_time now) const;
+
     /// @return the addresses of the relays of other regions, as far as they are known
     std::vector<endpoint> relaysOfOtherRegions(monotonic_time now) const;
 
--- a/src/flamingoroute/fleet/region_digest.hpp
+++ b/src/flamingoroute/fleet/region_digest.hpp
@@ -7,6 +7,7 @@
 
 #include <msgpack.hpp>
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,7 @@
 struct region_digest {
     std::string sender;
     std::string senderAddress;
+    std::uint64_t number = 0; ///< increases with each digest of the sender
     bool hasSums = true; ///< otherwise `sum` names the region only, and `others` is empty
     region_sum sum;
     std::vector<member_readiness> members;
@@ -26,7 +28,7 @@
     std::vector<kind_position> positions;
 
     bool operator==(const region_digest&) const = default;
-    MSGPACK_DEFINE(sender, senderAddress, hasSums, sum, members, others, isStoreConnected, positions)
+    MSGPACK_DEFINE(sender, senderAddress, number, hasSums, sum, members, others, isStoreConnected, positions)
 };
 
 } // namespace flamingoroute
--- a/src/flamingoroute/peers/envelope.hpp
+++ b/src/flamingoroute/peers/envelope.hpp
@@ -38,6 +38,7 @@
     region_digest = 61,
     store_batch = 62,
     quarantine_forward = 63,
+    forwarded = 64,
 };
 
 /// A message between two processes of the system.
--- a/src/flamingoroute/runtime/fleet_gossip.cpp
+++ b/src/flamingoroute/runtime/fleet_gossip.cpp
@@ -1,5 +1,6 @@
 #include "flamingoroute/runtime/fleet_gossip.hpp"
 
+#include "flamingoroute/fleet/forwarded_message.hpp"
 #include "flamingoroute/peers/message_body.hpp"
 #include "flamingoroute/report/event_log.hpp"
 #include "flamingoroute/runtime/incarnation_clock.hpp"
@@ -33,7 +34,16 @@
 fleet_gossip::fleet_gossip(serving_state& state, hooks callbacks)
     : m_state(state)
     , m_hooks(std::move(callbacks))
+    , m_digestNumber(newIncarnation())
     , m_bus(state.settings.instance, process_role::entry, newIncarnation())
+    , m_forwarder(
+          state.members,
+          [this](const endpoint& to, std::uint8_t kind, const std::string& body) {
+              m_bus.send(to, static_cast<message_kind>(kind), body);
+          },
+          [this](const endpoint& to, const forwarded_message& message) {
+              m_bus.send(to, message_kind::forwarded, packMessage(message));
+          })
     , m_ring(ringCapacity)
     , m_quarantine(state.quarantine, quarantineHooks())
     , m_timer(state.loop)
@@ -129,6 +139,7 @@
     m_digestAt = now;
     region_digest digest;
     digest.sender = m_state.settings.instance.value();
+    digest.number = ++m_digestNumber;
     digest.senderAddress = toString(m_state.settings.peerAddress);
     digest.sum.region = m_state.settings.region.value();
     digest.hasSums = m_state.members.isFirstRelay(now) && (isUrgent || now - m_sumsAt >= minSumsGap);
@@ -137,9 +148,12 @@
     digest.members = m_state.members.memberReadiness(now);
     m_hooks.describeStore(digest);
     m_state.members.recordDigest(digest, now);
-    const std::string body = packMessage(digest);
-    for (const auto& other : m_state.members.regionOthers())
-        m_bus.send(other.entryAddress, message_kind::region_digest, body);
+    sendToRegion(message_kind::region_digest, packMessage(digest));
+}
+
+void fleet_gossip::sendToRegion(message_kind kind, const std::string& body)
+{
+    m_forwarder.sendToRegion(static_cast<std::uint8_t>(kind), body, monotonicNow());
 }
 
 void fleet_gossip::addSums(region_digest& digest, monotonic_time now)
@@ -160,9 +174,7 @@
     const auto now = monotonicNow();
     if (!m_state.members.usesRelays() || !m_state.members.isRelay(now) || !m_state.members.isFirstRelay(now))
         return;
-    const std::string body = packMessage(batch);
-    for (const auto& other : m_state.members.regionOthers())
-        m_bus.send(other.entryAddress, message_kind::store_batch, body);
+    sendToRegion(message_kind::store_batch, packMessage(batch));
 }
 
 quarantine_exchange::hooks fleet_gossip::quarantineHooks()
@@ -223,6 +235,9 @@
         else
             logUnreadable(message, batch.error());
         return;
+    case message_kind::forwarded:
+        handleForwarded(message);
+        return;
     case message_kind::quarantine_forward:
     case message_kind::quarantine_notice:
         handleNotice(message);
@@ -232,6 +247,23 @@
     }
 }
 
+void fleet_gossip::handleForwarded(const envelope& message)
+{
+    const auto forwarded = unpackMessage<forwarded_message>(message.body);
+    if (!forwarded) {
+        logUnreadable(message, forwarded.error());
+        return;
+    }
+    envelope inner = message;
+    inner.kind = static_cast<message_kind>(forwarded->kind);
+    inner.body = forwarded->body;
+    if (inner.kind == message_kind::forwarded)
+        return;
+    // First, since the message may change which instances are known to serve.
+    m_forwarder.forward(*forwarded, message.from, monotonicNow());
+    handle(inner);
+}
+
 void fleet_gossip::handleReport(const envelope& message)
 {
     const auto report = unpackMessage<fleet_report>(message.body);
--- a/src/flamingoroute/runtime/fleet_gossip.hpp
+++ b/src/flamingoroute/runtime/fleet_gossip.hpp
@@ -3,6 +3,7 @@
 
 #include "flamingoroute/concurrency/bounded_ring.hpp"
 #include "flamingoroute/fleet/fleet_report.hpp"
+#include "flamingoroute/fleet/message_forwarder.hpp"
 #include "flamingoroute/fleet/region_digest.hpp"
 #include "flamingoroute/fleet/store_batch.hpp"
 #include "flamingoroute/model/error.hpp"
@@ -14,6 +15,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <tl/expected.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <vector>
@@ -61,6 +63,8 @@
     /// @param isUrgent whether the first relay includes sums even if the last ones are recent
     void sendDigest(milliseconds minGap, bool isUrgent);
     void addSums(region_digest& digest, monotonic_time now);
+    void sendToRegion(message_kind kind, const std::string& body);
+    void handleForwarded(const envelope& message);
     void handleReport(const envelope& message);
     void handleDigest(const envelope& message);
     quarantine_exchange::hooks quarantineHooks();
@@ -71,7 +75,9 @@
     monotonic_time m_reportedAt;
     monotonic_time m_digestAt;
     monotonic_time m_sumsAt;
+    std::uint64_t m_digestNumber; ///< of the last digest; greater than those of earlier processes of this instance
     peer_bus m_bus;
+    message_forwarder m_forwarder;
     bounded_ring<envelope> m_ring;
     quarantine_exchange m_quarantine;
     boost::asio::steady_timer m_timer;
--- a/tests/support/fleet/relayed_fleet.cpp
+++ b/tests/support/fleet/relayed_fleet.cpp
@@ -1,5 +1,8 @@
 #include "support/fleet/relayed_fleet.hpp"
 
+#include "flamingoroute/fleet/forwarded_message.hpp"
+#include "flamingoroute/peers/message_body.hpp"
+
 #include <algorithm>
 
 namespace flamingoroute::testing {
@@ -34,16 +37,23 @@
         for (const auto& other : m_where)
             m_nodes.back()->recordRegistered(other, m_now);
     }
+    for (std::size_t i = 0; i < size; ++i) {
+        m_forwarders.push_back(makeForwarder(i));
+        m_numbers[m_where[i].entryAddress] = i;
+    }
     m_isUp.assign(size, true);
     m_digestAt.assign(size, m_now);
+    m_traffic.assign(size, {});
 }
 
 void relayed_fleet::widenLink(std::size_t which)
 {
     m_where[which].linkMbps = 200;
     for (std::size_t i = 0; i < m_nodes.size(); ++i) {
-        if (i == which)
+        if (i == which) {
             m_nodes[i] = std::make_unique<fleet_members>(m_where[which]);
+            m_forwarders[i] = makeForwarder(i);
+        }
         m_nodes[i]->recordRegistered(m_where[which], m_now);
     }
     m_nodes[which]->setSelfReady(true);
@@ -54,7 +64,15 @@
 void relayed_fleet::setDemand(std::size_t which, float perSecond, std::uint32_t admitted)
 {
     m_demand.resize(m_nodes.size());
-    m_demand[which] = { "ronda", perSecond, admitted };
+    m_demand[which] = { { "ronda", perSecond, admitted } };
+}
+
+void relayed_fleet::setCustomers(std::size_t count)
+{
+    std::vector<customer_demand> demand;
+    for (std::size_t i = 0; i < count; ++i)
+        demand.push_back({ "customer-" + std::to_string(i), 1.5, 7 });
+    m_demand.assign(m_nodes.size(), demand);
 }
 
 void relayed_fleet::simulate(int ms)
@@ -77,7 +95,7 @@
 {
     report(which);
     for (const auto& relay : m_nodes[which]->relays(m_now)) {
-        const auto number = numberAt(relay.entryAddress);
+        const auto number = m_numbers.at(relay.entryAddress);
         if (m_isUp[number] && m_now - m_digestAt[number] >= minDigestGap)
             sendDigest(number);
     }
@@ -93,17 +111,14 @@
     return result;
 }
 
-std::size_t relayed_fleet::numberAt(const endpoint& address) const
-{
-    const auto found
-        = std::find_if(m_where.begin(), m_where.end(), [&](const member& one) { return one.entryAddress == address; });
-    return static_cast<std::size_t>(found - m_where.begin());
-}
-
-void relayed_fleet::deliver(const endpoint& to, const std::function<void(fleet_members&)>& take)
+void relayed_fleet::deliver(
+    std::size_t from, const endpoint& to, std::size_t bytes, const std::function<void(fleet_members&)>& take)
 {
+    const auto which = m_numbers.at(to);
     ++m_messages;
-    const auto which = numberAt(to);
+    m_traffic[from].bytes += bytes;
+    if (m_where[from].failureDomain != m_where[which].failureDomain)
+        m_traffic[from].bytesToOtherDomains += bytes;
     if (m_isUp[which])
         take(*m_nodes[which]);
 }
@@ -118,11 +133,12 @@
     own.peerAddress = toString(m_where[which].entryAddress);
     own.isReady = true;
     own.hasFullWindow = true;
-    if (which < m_demand.size() && !m_demand[which].customer.empty())
-        own.demand = { m_demand[which] };
+    if (which < m_demand.size())
+        own.demand = m_demand[which];
     m_nodes[which]->recordLocalReport(own, m_now);
     for (const auto& relay : m_nodes[which]->relays(m_now))
-        deliver(relay.entryAddress, [&](fleet_members& node) { node.recordReport(own, m_now); });
+        deliver(which, relay.entryAddress, packMessage(own).size(),
+            [&](fleet_members& node) { node.recordReport(own, m_now); });
 }
 
 void relayed_fleet::sendDigest(std::size_t which)
@@ -131,13 +147,15 @@
     m_digestAt[which] = m_now;
     region_digest digest;
     digest.sender = m_where[which].instance.value();
+    digest.number = ++m_digestNumber;
     digest.senderAddress = toString(m_where[which].entryAddress);
     digest.hasSums = node.isFirstRelay(m_now);
     digest.sum.region = m_where[which].region.value();
     if (digest.hasSums) {
         digest.sum = node.sumOfRegion(m_now);
         for (const auto& relay : node.relaysOfOtherRegions(m_now))
-            deliver(relay, [&](fleet_members& other) { other.recordDigest(digest, m_now); });
+            deliver(which, relay, packMessage(digest).size(),
+                [&](fleet_members& other) { other.recordDigest(digest, m_now); });
     }
     digest.members = node.memberReadiness(m_now);
     digest.isStoreConnected = true;
@@ -146,8 +164,25 @@
             digest.others.push_back(sum);
     }
     node.recordDigest(digest, m_now);
-    for (const auto& other : node.regionOthers())
-        deliver(other.entryAddress, [&](fleet_members& one) { one.recordDigest(digest, m_now); });
+    m_forwarders[which]->sendToRegion(0, packMessage(digest), m_now);
+}
+
+std::unique_ptr<message_forwarder> relayed_fleet::makeForwarder(std::size_t which)
+{
+    const auto deliverDigest = [this, which](const endpoint& to, std::size_t bytes, const std::string& digest) {
+        deliver(which, to, bytes,
+            [&](fleet_members& node) { node.recordDigest(*unpackMessage<region_digest>(digest), m_now); });
+    };
+    return std::make_unique<message_forwarder>(
+        *m_nodes[which],
+        [deliverDigest](
+            const endpoint& to, std::uint8_t, const std::string& body) { deliverDigest(to, body.size(), body); },
+        [this, which, deliverDigest](const endpoint& to, const forwarded_message& message) {
+            deliverDigest(to, packMessage(message).size(), message.body);
+            const auto receiver = m_numbers.at(to);
+            if (m_isUp[receiver])
+                m_forwarders[receiver]->forward(message, m_where[which].instance, m_now);
+        });
 }
 
 } // namespace flamingoroute::testing
--- a/tests/support/fleet/relayed_fleet.hpp
+++ b/tests/support/fleet/relayed_fleet.hpp
@@ -2,9 +2,11 @@
 #define FLAMINGOROUTE_TESTS_SUPPORT_FLEET_RELAYED_FLEET_HPP
 
 #include "flamingoroute/fleet/fleet_members.hpp"
+#include "flamingoroute/fleet/message_forwarder.hpp"
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -24,6 +26,9 @@
     /// Sets what an instance reports for the customer "ronda".
     void setDemand(std::size_t which, float perSecond, std::uint32_t admitted);
 
+    /// Sets that each instance reports the same demand for each of @p count customers.
+    void setCustomers(std::size_t count);
+
     /// Lets time pass in steps of stepMs: a report of each instance every 500 ms, a digest of each relay every second.
     void simulate(int ms);
 
@@ -38,20 +43,32 @@
     monotonic_time now() const { return m_now; }
     std::uint64_t messages() const { return m_messages; }
 
+    /// Bytes of messages that one instance has sent.
+    struct instance_traffic {
+        std::size_t bytes = 0;
+        std::size_t bytesToOtherDomains = 0; ///< part of them
+    };
+    const std::vector<instance_traffic>& traffic() const { return m_traffic; }
+
 private:
-    std::size_t numberAt(const endpoint& address) const;
-    void deliver(const endpoint& to, const std::function<void(fleet_members&)>& take);
+    void deliver(
+        std::size_t from, const endpoint& to, std::size_t bytes, const std::function<void(fleet_members&)>& take);
     void report(std::size_t which);
     void sendDigest(std::size_t which);
+    std::unique_ptr<message_forwarder> makeForwarder(std::size_t which);
 
     std::vector<member> m_where;
     std::vector<std::unique_ptr<fleet_members>> m_nodes;
+    std::vector<std::unique_ptr<message_forwarder>> m_forwarders;
     std::vector<bool> m_isUp;
-    std::vector<customer_demand> m_demand;
+    std::vector<std::vector<customer_demand>> m_demand;
+    std::map<endpoint, std::size_t> m_numbers;
+    std::vector<instance_traffic> m_traffic;
     monotonic_time m_now { seconds(100) };
     std::vector<monotonic_time> m_digestAt;
     int m_elapsedMs = 0;
     std::uint64_t m_messages = 0;
+    std::uint64_t m_digestNumber = 0;
 };
 
 } // namespace flamingoroute::testing
