Forward through wide links, number digests by process, and give relays a direct copy

Cause (review): an instance with a narrow link could be chosen to forward; the second relay got the first one's digests only through others and could take over after two of them had ended; one turn counter for all kinds could pick the same instance for each digest; a digest that a paused instance forwards late could replace a newer state after 1.7 s; a missed batch of store changes costs a call to the store for each instance that missed it; a forwarding instance copied and sorted all members of its region. Change: accordingly; batches go out twice, through different instances; five copies at most.

--- a/src/flamingoroute/fleet/digest_cache.cpp
+++ b/src/flamingoroute/fleet/digest_cache.cpp
@@ -37,12 +37,18 @@
     sortByCustomer(known.sum.demand);
 }
 
+bool digest_cache::isOutdated(const region_digest& digest, const relay_entry& known, monotonic_time now)
+{
+    if (digest.incarnation == known.digest.incarnation)
+        return digest.number <= known.digest.number;
+    // After a step of the clock, the incarnation of a new process may be lower than that of the one before.
+    return digest.incarnation < known.digest.incarnation && now - known.at < relayFreshFor;
+}
+
 bool digest_cache::record(const region_digest& digest, monotonic_time now)
 {
     const auto known = m_relays.find(instance_id(digest.sender));
-    // After a step of the clock, numbers of a new process may be lower than those of the one before.
-    const bool isRecent = known != m_relays.end() && now - known->second.at < relayFreshFor;
-    if (isRecent && digest.number < known->second.digest.number)
+    if (known != m_relays.end() && isOutdated(digest, known->second, now))
         return false;
     m_relays[instance_id(digest.sender)] = { digest, now };
     if (!digest.hasSums)
--- a/src/flamingoroute/fleet/digest_cache.hpp
+++ b/src/flamingoroute/fleet/digest_cache.hpp
@@ -18,8 +18,8 @@
 public:
     explicit digest_cache(region_id localRegion);
 
-    /// @return false if the digest was ignored because a later one of its sender has arrived: an instance that was
-    ///         paused forwards late
+    /// @return false if the digest was ignored because it or a later one of its sender has arrived: an
+    ///         instance that was paused forwards late
     bool record(const region_digest& digest, monotonic_time now);
 
     /// @return the newest sum of each region with its age, without stale ones
@@ -54,6 +54,7 @@
         monotonic_time at; ///< when it was computed, by this instance's clock
     };
 
+    static bool isOutdated(const region_digest& digest, const relay_entry& known, monotonic_time now);
     void recordRegionSum(const region_sum& sum, monotonic_time now);
     bool isConnected(const relay_entry& relay, monotonic_time now) const;
 
--- a/src/flamingoroute/fleet/fleet_members.cpp
+++ b/src/flamingoroute/fleet/fleet_members.cpp
@@ -1,6 +1,7 @@
 #include "flamingoroute/fleet/fleet_members.hpp"
 
 #include "flamingoroute/fleet/demand_list.hpp"
+#include "flamingoroute/fleet/forwarding.hpp"
 
 #include <algorithm>
 
@@ -224,14 +225,34 @@
     return result;
 }
 
+forward_receiver fleet_members::receiverFrom(const other_member& other, monotonic_time now) const
+{
+    // Reports reach a relay sooner than its own digests show that an instance has ended.
+    const bool isServing = isRelay(now) ? isReporting(other, now) : isFresh(other, now);
+    return { other.memberInfo, isServing && other.isReportedReady };
+}
+
 std::vector<forward_receiver> fleet_members::regionReceivers(monotonic_time now) const
 {
     std::vector<forward_receiver> result;
     for (const auto& name : m_regions.of(m_self.region).names) {
-        if (name == m_self.instance)
+        if (name != m_self.instance)
+            result.push_back(receiverFrom(m_others.at(name), now));
+    }
+    return result;
+}
+
+std::vector<forward_receiver> fleet_members::receiversIn(const member_range& range, monotonic_time now) const
+{
+    const auto& names = m_regions.of(m_self.region).names;
+    std::vector<forward_receiver> result;
+    const auto first = std::lower_bound(names.begin(), names.end(), instance_id(range.first));
+    for (auto name = first; name != names.end() && name->value() <= range.last; ++name) {
+        if (*name == m_self.instance)
             continue;
-        const auto& entry = m_others.at(name);
-        result.push_back({ entry.memberInfo, entry.isReportedReady && isFresh(entry, now) });
+        const auto& other = m_others.at(*name);
+        if (other.memberInfo.failureDomain.value() == range.failureDomain)
+            result.push_back(receiverFrom(other, now));
     }
     return result;
 }
--- a/src/flamingoroute/fleet/fleet_members.hpp
+++ b/src/flamingoroute/fleet/fleet_members.hpp
@@ -4,7 +4,6 @@
 #include "flamingoroute/fleet/demand_history.hpp"
 #include "flamingoroute/fleet/digest_cache.hpp"
 #include "flamingoroute/fleet/fleet_report.hpp"
-#include "flamingoroute/fleet/forwarding.hpp"
 #include "flamingoroute/fleet/rate_split.hpp"
 #include "flamingoroute/fleet/region_index.hpp"
 #include "flamingoroute/fleet/relay_choice.hpp"
@@ -17,6 +16,9 @@
 
 namespace flamingoroute {
 
+struct forward_receiver;
+struct member_range;
+
 /// The instances of the fleet that are registered in the store or send reports, with the latest report of each. Pure:
 /// no I/O, clocks or threads.
 class fleet_members {
@@ -74,9 +76,12 @@
     /// @return the other instances of this instance's region
     std::vector<member> regionOthers() const;
 
-    /// @return the same as receivers of a message that instances forward to each other
+    /// @return the other instances of this instance's region, as receivers of a message that they forward to each other
     std::vector<forward_receiver> regionReceivers(monotonic_time now) const;
 
+    /// @return those of regionReceivers() that are in @p range
+    std::vector<forward_receiver> receiversIn(const member_range& range, monotonic_time now) const;
+
     /// @return the addresses of the relays of other regions, as far as they are known
     std::vector<endpoint> relaysOfOtherRegions(monotonic_time now) const;
 
@@ -118,6 +123,7 @@
     void setReportedReady(other_member& entry, bool isReady, monotonic_time now);
     bool isFresh(const other_member& other, monotonic_time now) const;
     bool isReporting(const other_member& other, monotonic_time now) const;
+    forward_receiver receiverFrom(const other_member& other, monotonic_time now) const;
     bool isLost(const other_member& other, monotonic_time now) const;
     microseconds freshnessLimit() const;
     const relay_choice& relayChoice(monotonic_time now) const;
--- a/src/flamingoroute/fleet/forwarding.cpp
+++ b/src/flamingoroute/fleet/forwarding.cpp
@@ -10,7 +10,7 @@
 
 using receiver_list = std::vector<forward_receiver>;
 
-/// In a smaller group, the instance that forwards is often the same, also after it has ended.
+/// In a smaller group, the same instance forwards every or every second message, and its end is felt more often.
 constexpr std::size_t minGroupSize = 3;
 
 void sortByName(receiver_list& receivers)
@@ -25,21 +25,31 @@
         branches.push_back({ receiver.memberInfo.entryAddress, std::nullopt });
 }
 
+/// @return the reachable instances of @p group whose links have at least half the bandwidth of the widest among them
+receiver_list forwardersOf(const receiver_list& group)
+{
+    int widest = 0;
+    for (const auto& receiver : group)
+        widest = std::max(widest, receiver.isReachable ? receiver.memberInfo.linkMbps : 0);
+    receiver_list forwarders;
+    std::copy_if(group.begin(), group.end(), std::back_inserter(forwarders),
+        [&](const auto& receiver) { return receiver.isReachable && receiver.memberInfo.linkMbps >= widest / 2; });
+    return forwarders;
+}
+
 /// Adds one copy to an instance that forwards it to the others; if none is known to serve, a copy for each.
 /// @param group sorted by name, not empty
 void addGroup(std::vector<forward_branch>& branches, const receiver_list& group, std::uint32_t turn)
 {
-    receiver_list reachable;
-    std::copy_if(group.begin(), group.end(), std::back_inserter(reachable),
-        [](const auto& receiver) { return receiver.isReachable; });
-    if (group.size() == 1 || reachable.empty()) {
+    const auto forwarders = forwardersOf(group);
+    if (group.size() == 1 || forwarders.empty()) {
         addDirect(branches, group);
         return;
     }
     const auto& first = group.front().memberInfo;
     const member_range range { first.failureDomain.value(), first.instance.value(),
         group.back().memberInfo.instance.value() };
-    branches.push_back({ reachable[turn % reachable.size()].memberInfo.entryAddress, range });
+    branches.push_back({ forwarders[turn % forwarders.size()].memberInfo.entryAddress, range });
 }
 
 /// @param receivers of the sender's failure domain, sorted by name
@@ -78,14 +88,4 @@
     return branches;
 }
 
-std::vector<forward_receiver> receiversIn(receiver_list receivers, const member_range& range)
-{
-    std::erase_if(receivers, [&](const auto& receiver) {
-        const auto& name = receiver.memberInfo.instance.value();
-        return receiver.memberInfo.failureDomain.value() != range.failureDomain || name < range.first
-            || name > range.last;
-    });
-    return receivers;
-}
-
 } // namespace flamingoroute
--- a/src/flamingoroute/fleet/forwarding.hpp
+++ b/src/flamingoroute/fleet/forwarding.hpp
@@ -28,8 +28,8 @@
 };
 
 /// Copies of a message that one instance sends within its failure domain.
-inline constexpr std::size_t maxForwardCopies = 6;
-/// One to reach a failure domain, and enough for maxForwardCopies^3 instances there.
+inline constexpr std::size_t maxForwardCopies = 5;
+/// One to reach a failure domain, and enough there for maxForwardCopies^3 instances.
 inline constexpr std::uint8_t maxForwardHops = 4;
 
 /// Splits the receivers of a message among instances that forward it, so that no instance sends many copies and each
@@ -41,9 +41,6 @@
 std::vector<forward_branch> branchesFor(
     std::vector<forward_receiver> receivers, const failure_domain_id& localDomain, std::uint32_t turn);
 
-/// @return those of @p receivers that are in @p range
-std::vector<forward_receiver> receiversIn(std::vector<forward_receiver> receivers, const member_range& range);
-
 } // namespace flamingoroute
 
 #endif
--- a/src/flamingoroute/fleet/message_forwarder.cpp
+++ b/src/flamingoroute/fleet/message_forwarder.cpp
@@ -16,10 +16,15 @@
 {
     forwarded_message message;
     message.hopsLeft = maxForwardHops;
-    message.turn = ++m_turn;
+    message.turn = ++m_turns[kind];
     message.kind = kind;
     message.body = body;
-    const auto branches = branchesFor(m_members.regionReceivers(now), m_members.self().failureDomain, message.turn);
+    auto receivers = m_members.regionReceivers(now);
+    for (const auto& relay : m_members.relays(now)) {
+        m_sendPlain(relay.entryAddress, kind, body);
+        std::erase_if(receivers, [&](const auto& receiver) { return receiver.memberInfo.instance == relay.instance; });
+    }
+    const auto branches = branchesFor(std::move(receivers), m_members.self().failureDomain, message.turn);
     sendCopies(branches, std::move(message));
 }
 
@@ -27,7 +32,7 @@
 {
     if (message.hopsLeft == 0)
         return;
-    auto receivers = receiversIn(m_members.regionReceivers(now), message.range);
+    auto receivers = m_members.receiversIn(message.range, now);
     std::erase_if(receivers, [&](const auto& receiver) { return receiver.memberInfo.instance == from; });
     auto copy = message;
     --copy.hopsLeft;
--- a/src/flamingoroute/fleet/message_forwarder.hpp
+++ b/src/flamingoroute/fleet/message_forwarder.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
 
 namespace flamingoroute {
@@ -26,6 +27,7 @@
     /// @param members must outlive the forwarder
     message_forwarder(const fleet_members& members, plain_hook sendPlain, forwarded_hook sendForwarded);
 
+    /// The other relays of the region get a copy directly: they replace this one if they miss its messages.
     void sendToRegion(std::uint8_t kind, const std::string& body, monotonic_time now);
 
     /// Sends the copies that a received message asks for.
@@ -38,7 +40,7 @@
     const fleet_members& m_members;
     plain_hook m_sendPlain;
     forwarded_hook m_sendForwarded;
-    std::uint32_t m_turn = 0;
+    std::map<std::uint8_t, std::uint32_t> m_turns; ///< of the last message of each kind
 };
 
 } // namespace flamingoroute
--- a/src/flamingoroute/fleet/region_digest.hpp
+++ b/src/flamingoroute/fleet/region_digest.hpp
@@ -19,16 +19,18 @@
 struct region_digest {
     std::string sender;
     std::string senderAddress;
-    std::uint64_t number = 0; ///< increases with each digest of the sender
     bool hasSums = true; ///< otherwise `sum` names the region only, and `others` is empty
     region_sum sum;
     std::vector<member_readiness> members;
     std::vector<region_sum> others;
     bool isStoreConnected = false; ///< the store answered the relay recently
     std::vector<kind_position> positions;
+    std::uint64_t incarnation = 0; ///< of the sender's process
+    std::uint64_t number = 0; ///< increases with each digest of the process
 
     bool operator==(const region_digest&) const = default;
-    MSGPACK_DEFINE(sender, senderAddress, number, hasSums, sum, members, others, isStoreConnected, positions)
+    MSGPACK_DEFINE(
+        sender, senderAddress, hasSums, sum, members, others, isStoreConnected, positions, incarnation, number)
 };
 
 } // namespace flamingoroute
--- a/src/flamingoroute/runtime/fleet_gossip.cpp
+++ b/src/flamingoroute/runtime/fleet_gossip.cpp
@@ -34,8 +34,8 @@
 fleet_gossip::fleet_gossip(serving_state& state, hooks callbacks)
     : m_state(state)
     , m_hooks(std::move(callbacks))
-    , m_digestNumber(newIncarnation())
-    , m_bus(state.settings.instance, process_role::entry, newIncarnation())
+    , m_incarnation(newIncarnation())
+    , m_bus(state.settings.instance, process_role::entry, m_incarnation)
     , m_forwarder(
           state.members,
           [this](const endpoint& to, std::uint8_t kind, const std::string& body) {
@@ -139,6 +139,7 @@
     m_digestAt = now;
     region_digest digest;
     digest.sender = m_state.settings.instance.value();
+    digest.incarnation = m_incarnation;
     digest.number = ++m_digestNumber;
     digest.senderAddress = toString(m_state.settings.peerAddress);
     digest.sum.region = m_state.settings.region.value();
@@ -174,7 +175,10 @@
     const auto now = monotonicNow();
     if (!m_state.members.usesRelays() || !m_state.members.isRelay(now) || !m_state.members.isFirstRelay(now))
         return;
-    sendToRegion(message_kind::store_batch, packMessage(batch));
+    // Twice, by different instances: one that misses a batch has to read the store.
+    const std::string body = packMessage(batch);
+    sendToRegion(message_kind::store_batch, body);
+    sendToRegion(message_kind::store_batch, body);
 }
 
 quarantine_exchange::hooks fleet_gossip::quarantineHooks()
@@ -257,8 +261,12 @@
     envelope inner = message;
     inner.kind = static_cast<message_kind>(forwarded->kind);
     inner.body = forwarded->body;
-    if (inner.kind == message_kind::forwarded)
+    if (inner.kind != message_kind::region_digest && inner.kind != message_kind::store_batch) {
+        event_line(log_level::warn, "peer.not_forwarded")
+            .with("peer", message.from.value())
+            .with("kind", forwarded->kind);
         return;
+    }
     // First, since the message may change which instances are known to serve.
     m_forwarder.forward(*forwarded, message.from, monotonicNow());
     handle(inner);
--- a/src/flamingoroute/runtime/fleet_gossip.hpp
+++ b/src/flamingoroute/runtime/fleet_gossip.hpp
@@ -75,7 +75,8 @@
     monotonic_time m_reportedAt;
     monotonic_time m_digestAt;
     monotonic_time m_sumsAt;
-    std::uint64_t m_digestNumber; ///< of the last digest; greater than those of earlier processes of this instance
+    std::uint64_t m_incarnation;
+    std::uint64_t m_digestNumber = 0; ///< of the last digest
     peer_bus m_bus;
     message_forwarder m_forwarder;
     bounded_ring<envelope> m_ring;
