--- a/src/flamingoroute/fleet/digest_cache.cpp
+++ b/src/flamingoroute/fleet/digest_cache.cpp
@@ -37,16 +37,28 @@
     sortByCustomer(known.sum.demand);
 }
 
-void digest_cache::record(const region_digest& digest, monotonic_time now)
+bool digest_cache::isOutdated(const region_digest& digest, const relay_entry& known, monotonic_time now)
 {
+    if (digest.incarnation == known.digest.incarnation)
+        return digest.number <= known.digest.number;
+    // After a step of the clock, the incarnation of a new process may be lower than that of the one before.
+    return digest.incarnation < known.digest.incarnation && now - known.at < relayFreshFor;
+}
+
+bool digest_cache::record(const region_digest& digest, monotonic_time now)
+{
+    const auto known = m_relays.find(instance_id(digest.sender));
+    if (known != m_relays.end() && isOutdated(digest, known->second, now))
+        return false;
     m_relays[instance_id(digest.sender)] = { digest, now };
     if (!digest.hasSums)
-        return;
+        return true;
     recordRegionSum(digest.sum, now);
     for (const auto& sum : digest.others) {
         if (sum.region != m_localRegion.value())
             recordRegionSum(sum, now);
     }
+    return true;
 }
 
 std::vector<region_sum> digest_cache::freshSums(monotonic_time now) const
--- a/src/flamingoroute/fleet/region_digest.hpp
+++ b/src/flamingoroute/fleet/region_digest.hpp
@@ -7,6 +7,7 @@
 
 #include <msgpack.hpp>
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -24,9 +25,12 @@
     std::vector<region_sum> others;
     bool isStoreConnected = false; ///< the store answered the relay recently
     std::vector<kind_position> positions;
+    std::uint64_t incarnation = 0; ///< of the sender's process
+    std::uint64_t number = 0; ///< increases with each digest of the process
 
     bool operator==(const region_digest&) const = default;
-    MSGPACK_DEFINE(sender, senderAddress, hasSums, sum, members, others, isStoreConnected, positions)
+    MSGPACK_DEFINE(
+        sender, senderAddress, hasSums, sum, members, others, isStoreConnected, positions, incarnation, number)
 };
 
 } // namespace flamingoroute
