Count usage by customer and report it under a fenced lease

The settings' report window, its address and the duty were not read, and POST /usage was never sent. A duty's holder keeps a lease in the store; its epoch is the fencing token. Counts go through the relays to the holder, which fixes each window in the store before it sends it. Off unless the settings name window, duty and address.

--- a/src/flamingoroute/peers/envelope.hpp
+++ b/src/flamingoroute/peers/envelope.hpp
@@ -38,6 +38,8 @@
     region_digest = 61,
     store_batch = 62,
     quarantine_forward = 63,
+    usage_counts = 70,
+    usage_sum = 71,
 };
 
 /// A message between two processes of the system.
--- a/src/flamingoroute/proxy/client_connection.cpp
+++ b/src/flamingoroute/proxy/client_connection.cpp
@@ -173,8 +173,24 @@
     read();
 }
 
+bool client_connection::applySendLimit()
+{
+    const auto left = m_sendTimeLeft();
+    if (left <= milliseconds(0))
+        return false;
+    socket_error failed;
+    m_socket.set_option(tcp_option<TCP_USER_TIMEOUT>(static_cast<int>(left.count())), failed);
+    if (!failed)
+        m_socket.set_option(asio::socket_base::linger(true, 0), failed);
+    return !failed;
+}
+
 void client_connection::write()
 {
+    if (m_sendTimeLeft && !applySendLimit()) {
+        fail("write", "no time left to send", false, false);
+        return;
+    }
     m_hasSent = true;
     m_isWriting = true;
     asio::async_write(
--- a/src/flamingoroute/proxy/client_connection.hpp
+++ b/src/flamingoroute/proxy/client_connection.hpp
@@ -40,6 +40,11 @@
     /// @param done called once, unless abandon() is called first
     void exchange(const http_request& request, milliseconds connectTimeout, done_callback done);
 
+    /// Limits when a request may be sent and for how long its bytes may be repeated by the kernel.
+    /// @param timeLeft asked immediately before a request is written: zero or less fails it unsent; otherwise the
+    ///        connection is reset if its bytes are not acknowledged within this time. A close resets it, too.
+    void limitSending(std::function<milliseconds()> timeLeft) { m_sendTimeLeft = std::move(timeLeft); }
+
     /// Closes the connection; the open request's callback is not called.
     void cancel();
 
@@ -58,6 +63,7 @@
     void connect(milliseconds timeout);
     void onConnected(const boost::system::error_code& errorCode);
     void write();
+    bool applySendLimit();
     void read();
     void onRead(const boost::system::error_code& errorCode, std::size_t size);
     void parseBytes();
@@ -78,6 +84,7 @@
     std::string m_unread;
     std::unique_ptr<answer_reader> m_reader;
     done_callback m_done;
+    std::function<milliseconds()> m_sendTimeLeft; ///< empty: no limit
     monotonic_time m_idleSince;
     monotonic_time m_connectStartedAt;
     microseconds m_connectTime { 0 };
--- a/src/flamingoroute/runtime/fleet_gossip.cpp
+++ b/src/flamingoroute/runtime/fleet_gossip.cpp
@@ -227,6 +227,10 @@
     case message_kind::quarantine_notice:
         handleNotice(message);
         return;
+    case message_kind::usage_counts:
+    case message_kind::usage_sum:
+        m_hooks.onUsage(message);
+        return;
     default:
         return;
     }
--- a/src/flamingoroute/runtime/fleet_gossip.hpp
+++ b/src/flamingoroute/runtime/fleet_gossip.hpp
@@ -35,6 +35,8 @@
         std::function<void(region_digest&)> describeStore;
         /// Called for store changes that a relay forwarded.
         std::function<void(const store_batch&)> onBatch;
+        /// Called for messages with usage counts.
+        std::function<void(const envelope&)> onUsage;
     };
 
     fleet_gossip(serving_state& state, hooks callbacks);
@@ -47,6 +49,9 @@
     /// @param isUrgent whether relays should forward it at once
     void report(bool isUrgent);
 
+    /// Sends a message to the peer address of another instance.
+    void send(const endpoint& to, message_kind kind, const std::string& body) { m_bus.send(to, kind, body); }
+
     /// Forwards store changes to the instances of this region, if this instance is its first relay.
     void relayBatch(const store_batch& batch);
 
--- a/src/flamingoroute/runtime/fleet_port.hpp
+++ b/src/flamingoroute/runtime/fleet_port.hpp
@@ -1,6 +1,7 @@
 #ifndef FLAMINGOROUTE_RUNTIME_FLEET_PORT_HPP
 #define FLAMINGOROUTE_RUNTIME_FLEET_PORT_HPP
 
+#include "flamingoroute/duties/usage_report.hpp"
 #include "flamingoroute/model/error.hpp"
 #include "flamingoroute/model/fleet_configuration.hpp"
 #include "flamingoroute/model/member.hpp"
@@ -30,6 +31,7 @@
     std::string versionOrderKind;
     std::string evacuationKind; ///< the name of each object is a failure domain
     std::string memberKind;
+    std::string dutyKind; ///< leases and records of duties
     std::function<tl::expected<fleet_configuration, error>(const fleet_object&)> readConfiguration;
     std::function<tl::expected<registered_upstream, error>(const fleet_object&)> readUpstream;
     std::function<tl::expected<version_order, error>(const fleet_object&)> readVersionOrder;
@@ -39,6 +41,7 @@
     std::function<tl::expected<lookup_request, error>(const http_request&)> readLookup;
     std::function<caller_answer(const std::vector<member>&, milliseconds)> encodeLookup;
     std::function<bool(const http_request&)> isReadinessCheck;
+    std::function<http_request(const usage_report&, const instance_id& holder)> encodeUsageReport;
 };
 
 } // namespace flamingoroute
--- a/src/flamingoroute/runtime/serving_node.cpp
+++ b/src/flamingoroute/runtime/serving_node.cpp
@@ -60,7 +60,10 @@
           { [this] { registerSelf(); }, [this](const store_batch& batch) { m_gossip.relayBatch(batch); } })
     , m_gossip(m_state,
           { [this] { onPeerUpdate(); }, [this](region_digest& digest) { describeStore(digest); },
-              [this](const store_batch& batch) { m_watch.applyBatch(batch); } })
+              [this](const store_batch& batch) { m_watch.applyBatch(batch); },
+              [this](const envelope& message) { m_usage.receive(message); } })
+    , m_usage(m_state, store, m_port,
+          [this](const endpoint& to, message_kind kind, const std::string& body) { m_gossip.send(to, kind, body); })
     , m_callers(
           loop, [this](auto exchange) { serve(std::move(exchange)); },
           [this] { return m_state.table ? m_state.table->configuration().limits : caller_limits {}; })
@@ -179,6 +182,7 @@
     updateReadiness();
     writeDueOrders();
     removeLostMembers();
+    m_usage.tick();
 }
 
 void serving_node::updateReadiness()
@@ -295,6 +299,7 @@
         m_state.table ? static_cast<double>(m_state.table->version()) : 0);
     text.gauge("flamingo_members_heard", "Reachable instances.", {},
         static_cast<double>(m_state.members.reachableCount(monotonicNow())));
+    m_usage.addMetrics(text);
     exchange.answer(caller_answer { 200, { { "Content-Type", "text/plain; version=0.0.4" } }, text.text() }, false);
 }
 
@@ -372,6 +377,7 @@
 
 void serving_node::unregisterAndEnd()
 {
+    m_usage.sendLastCounts();
     // Not earlier: the other instances share rates and retries with this one while it serves.
     unregister(m_state.settings.instance, [this] { end(); });
     m_leaveTimer.expires_after(unregisterTime);
--- a/src/flamingoroute/runtime/serving_node.hpp
+++ b/src/flamingoroute/runtime/serving_node.hpp
@@ -6,6 +6,7 @@
 #include "flamingoroute/runtime/fleet_gossip.hpp"
 #include "flamingoroute/runtime/fleet_port.hpp"
 #include "flamingoroute/runtime/fleet_watch.hpp"
+#include "flamingoroute/runtime/usage_duty.hpp"
 #include "flamingoroute/serving/serving_state.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -71,6 +72,7 @@
     serving_state m_state;
     fleet_watch m_watch;
     fleet_gossip m_gossip;
+    usage_duty m_usage;
     http_listener m_callers;
     http_listener m_readiness;
     http_listener m_lookups;
--- a/src/flamingoroute/serving/attempt_recorder.cpp
+++ b/src/flamingoroute/serving/attempt_recorder.cpp
@@ -24,13 +24,34 @@
 void attempt_recorder::recordResult(const exchange_result& result, const upstream_answer& interpretation) const
 {
     updateEstimates(result, interpretation);
+    if (isDefinitelyNotRun(interpretation.outcome))
+        takeBackUsage();
+    else if (result.connectTime > microseconds(0))
+        moveUsage(result.connectTime);
     recordReport(reportOf(result, interpretation));
     if (interpretation.isUpstreamLeaving)
         recordLeaving();
 }
 
-void attempt_recorder::recordCancelled(attempt_verdict verdict) const
+void attempt_recorder::takeBackUsage() const
 {
+    if (m_request.customer != nullptr)
+        m_state.usage.takeBack(m_request.customer->name, m_sent.startsAt);
+}
+
+void attempt_recorder::moveUsage(microseconds later) const
+{
+    if (m_request.customer == nullptr)
+        return;
+    takeBackUsage();
+    m_state.usage.add(m_request.customer->name, m_sent.startsAt + later);
+}
+
+void attempt_recorder::recordCancelled(attempt_verdict verdict, bool hasSent) const
+{
+    // An upstream drops a waiting request whose connection closes.
+    if (!hasSent || m_sent.startsAt > monotonicNow())
+        takeBackUsage();
     attempt_report report;
     report.verdict = verdict;
     // The elapsed time is a lower bound: the answer would have taken longer, but it is unknown how much.
--- a/src/flamingoroute/serving/attempt_recorder.hpp
+++ b/src/flamingoroute/serving/attempt_recorder.hpp
@@ -25,10 +25,15 @@
     void recordResult(const exchange_result& result, const upstream_answer& interpretation) const;
 
     /// Records an attempt that was cancelled before its answer.
-    void recordCancelled(attempt_verdict verdict) const;
+    /// @param hasSent whether any of its bytes may have reached the upstream
+    void recordCancelled(attempt_verdict verdict, bool hasSent) const;
 
 private:
     attempt_report reportOf(const exchange_result& result, const upstream_answer& interpretation) const;
+    /// Takes the attempt out of the usage counts: its upstream did not run it.
+    void takeBackUsage() const;
+    /// Counts the attempt as started later than expected.
+    void moveUsage(microseconds later) const;
     void recordReport(const attempt_report& report) const;
     std::optional<double> requestLimit() const;
     void recordLeaving() const;
--- a/src/flamingoroute/serving/request_flow.cpp
+++ b/src/flamingoroute/serving/request_flow.cpp
@@ -140,7 +140,8 @@
 {
     const auto now = monotonicNow();
     const auto* upstream = m_state.upstreams.find(chosen.upstream);
-    m_sent = { upstream->registration, chosen, now };
+    const auto arrivesAt = now + m_state.paths.to(upstream->region) / 2;
+    m_sent = { upstream->registration, chosen, now, arrivesAt + chosen.wait };
     ++m_attempts;
     ++m_tries;
     m_request.query.tried.insert(chosen.upstream);
@@ -153,6 +154,8 @@
         m_state.cold.recordSent(chosen.upstream, now);
     m_state.shifts.record(upstream->region != m_state.settings.region, now);
     m_state.objects.record(upstream->nameHash, m_request.query.objectHash, now);
+    if (m_request.customer != nullptr)
+        m_state.usage.add(m_request.customer->name, m_sent.startsAt);
     m_connection = m_state.connections.acquire(
         m_sent.upstream, m_request.rule->isIdempotent ? maxIdleTime : maxIdleTimeForNonIdempotent);
     m_connection->exchange(upstreamRequest(m_sent.upstream), connectTimeout,
@@ -278,9 +281,10 @@
 {
     if (!m_connection)
         return;
-    m_mayHaveRun = m_mayHaveRun || m_connection->hasSent();
+    const bool hasSent = m_connection->hasSent();
+    m_mayHaveRun = m_mayHaveRun || hasSent;
     m_connection->cancel();
-    attempt_recorder(m_state, m_request, m_sent).recordCancelled(verdict);
+    attempt_recorder(m_state, m_request, m_sent).recordCancelled(verdict, hasSent);
     releaseConnection(verdict);
 }
 
--- a/src/flamingoroute/serving/sent_attempt.hpp
+++ b/src/flamingoroute/serving/sent_attempt.hpp
@@ -12,6 +12,7 @@
     registered_upstream upstream; ///< as registered when the attempt was sent
     selection chosen;
     monotonic_time sentAt;
+    monotonic_time startsAt; ///< when the upstream probably begins to run it
 };
 
 } // namespace flamingoroute
--- a/src/flamingoroute/serving/serving_state.hpp
+++ b/src/flamingoroute/serving/serving_state.hpp
@@ -1,6 +1,7 @@
 #ifndef FLAMINGOROUTE_SERVING_SERVING_STATE_HPP
 #define FLAMINGOROUTE_SERVING_SERVING_STATE_HPP
 
+#include "flamingoroute/duties/usage_counter.hpp"
 #include "flamingoroute/fleet/fleet_members.hpp"
 #include "flamingoroute/fleet/rate_split.hpp"
 #include "flamingoroute/fleet/retry_split.hpp"
@@ -47,6 +48,7 @@
         , cold(nodeSettings.instance, nodeSettings.bounds.coldRateFactor, nodeSettings.bounds.coldSlack)
         , quarantine(quarantine_limits {})
         , paths(nodeSettings.region)
+        , usage(nodeSettings.usageAddress.port == 0 ? milliseconds(0) : nodeSettings.bounds.usageWindow)
         , connections(ioContext, names.requestId, nodeSettings.memoryLimitBytes / answerMemoryDivisor)
     {
     }
@@ -67,6 +69,7 @@
     service_times times;
     recent_objects objects;
     path_delays paths;
+    usage_counter usage;
     upstream_connection_pool connections;
     serving_counters counters;
     std::unordered_map<const request_flow*, std::weak_ptr<request_flow>> openRequests;
--- a/src/flamingoroute/settings/fleet_bounds.hpp
+++ b/src/flamingoroute/settings/fleet_bounds.hpp
@@ -19,6 +19,10 @@
     double coldSlack = 0; ///< requests allowed in one second beyond that
     double exposureSlack = 0; ///< requests that an untried version may receive beyond exposureShare
     double exposureShare = 0.1; ///< fraction of a service's requests that an untried version may receive
+    milliseconds usageWindow { 0 }; ///< length of the windows in which usage is counted; zero: none
+    milliseconds usageLateAfter { 10000 }; ///< from the end of a window until its report is due
+    milliseconds leaseTime { 3000 }; ///< in which two holders of a duty must not alternate
+    milliseconds thawSlack { 300 }; ///< in which a holder that was paused must notice that
 
     bool operator==(const fleet_bounds&) const = default;
 };
--- a/src/flamingoroute/settings/node_settings.hpp
+++ b/src/flamingoroute/settings/node_settings.hpp
@@ -22,6 +22,8 @@
     endpoint peerAddress; ///< listen address for other instances
     endpoint metricsAddress; ///< listen address for metrics; port 0: none
     endpoint storeAddress; ///< address of the platform's object API
+    endpoint usageAddress; ///< address that takes usage reports; port 0: usage is not reported
+    double dutyCallsPerSecond = 1; ///< that the platform accepts from all instances together
     std::map<failure_domain_id, region_id> regions; ///< region of each failure domain
     int linkMbps = 0; ///< bandwidth of the instance's network link; 0: unknown
     std::size_t fileDescriptorLimit = 1024; ///< maximum number of files and sockets that the process may open
--- a/src/flamingoroute/store/watched_store.hpp
+++ b/src/flamingoroute/store/watched_store.hpp
@@ -3,6 +3,7 @@
 
 #include "flamingoroute/model/error.hpp"
 #include "flamingoroute/model/monotonic_time.hpp"
+#include "flamingoroute/store/fleet_object.hpp"
 #include "flamingoroute/store/object_event.hpp"
 #include "flamingoroute/store/object_page.hpp"
 
@@ -23,6 +24,7 @@
 public:
     using page_callback = std::function<void(tl::expected<object_page, error>)>;
     using events_callback = std::function<void(tl::expected<object_events, error>)>;
+    using object_callback = std::function<void(tl::expected<fleet_object, error>)>;
     using write_callback = std::function<void(tl::expected<std::uint64_t, error>)>;
 
     virtual ~watched_store() = default;
@@ -46,6 +48,22 @@
         std::uint64_t revision, write_callback done)
         = 0;
 
+    /// Reads one object.
+    /// @param mayBeStale whether an answer that is seconds old will do; it is cheaper
+    virtual void read(const std::string& kind, const std::string& name, bool mayBeStale, object_callback done) = 0;
+
+    /// Creates an object; `conflict` if it exists.
+    /// @param specification JSON
+    virtual void create(
+        const std::string& kind, const std::string& name, const std::string& specification, write_callback done)
+        = 0;
+
+    /// Replaces an object's specification if it still has @p revision.
+    /// @param specification JSON
+    virtual void replace(const std::string& kind, const std::string& name, const std::string& specification,
+        std::uint64_t revision, write_callback done)
+        = 0;
+
     /// Deletes an object.
     virtual void remove(const std::string& kind, const std::string& name, write_callback done) = 0;
 };
--- a/tests/unit/store/object_watcher_test.cpp
+++ b/tests/unit/store/object_watcher_test.cpp
@@ -23,6 +23,10 @@
     MOCK_METHOD(void, put, (const std::string&, const std::string&, const std::string&, write_callback), (override));
     MOCK_METHOD(void, putStatus,
         (const std::string&, const std::string&, const std::string&, std::uint64_t, write_callback), (override));
+    MOCK_METHOD(void, read, (const std::string&, const std::string&, bool, object_callback), (override));
+    MOCK_METHOD(void, create, (const std::string&, const std::string&, const std::string&, write_callback), (override));
+    MOCK_METHOD(void, replace,
+        (const std::string&, const std::string&, const std::string&, std::uint64_t, write_callback), (override));
     MOCK_METHOD(void, remove, (const std::string&, const std::string&, write_callback), (override));
 };
 
