--- a/tests/unit/platform/settings_file_test.cpp
+++ b/tests/unit/platform/settings_file_test.cpp
@@ -69,6 +69,22 @@
     EXPECT_DOUBLE_EQ(settings->bounds.coldRateFactor, 1.5);
 }
 
+TEST(settings_file, asks_for_usage_reports_only_with_window_duty_and_address)
+{
+    const auto addressIn = [](const std::string& text) {
+        const temporary_file file(text);
+        const auto settings = readSettingsFile(file.path());
+        return settings ? toString(settings->usageAddress) : "rejected";
+    };
+    const std::string window = "report_window = \"5s\"\n";
+    const std::string duty = "[platform.cloud]\nduties = [\"usage_reporting\"]\n";
+    const std::string address = "address = \"10.200.0.62:8064\"\n";
+    EXPECT_EQ(addressIn(settingsText + window + duty + address), "10.200.0.62:8064");
+    EXPECT_EQ(addressIn(settingsText + window + duty), "rejected");
+    EXPECT_EQ(addressIn(settingsText + window + "[platform.cloud]\n" + address), toString(endpoint {}));
+    EXPECT_EQ(addressIn(settingsText + duty + address), toString(endpoint {}));
+}
+
 TEST(settings_file, names_the_field_that_is_missing_or_of_another_type)
 {
     for (const std::string field : { "node_name", "zone", "first_start", "file_descriptors", "frontend", "address" }) {
