--- a/src/flamingoroute/duties/usage_reporter.hpp
+++ b/src/flamingoroute/duties/usage_reporter.hpp
@@ -44,6 +44,9 @@
     /// Takes the next step if one is due. To be called several times a second.
     void poll(monotonic_time now);
 
+    /// @return the fencing token of this instance's last term; zero before the first
+    object_version lastToken() const { return m_token; }
+
     const usage_tally& tally() const { return m_tally; }
 
 private:
--- a/src/flamingoroute/runtime/usage_duty.cpp
+++ b/src/flamingoroute/runtime/usage_duty.cpp
@@ -68,14 +68,14 @@
 {
     object_access access;
     access.read = [this, name](bool mayBeStale, object_access::read_callback done) {
-        m_store.read(m_port.dutyKind, name, mayBeStale, [name, done = std::move(done)](const auto& answer) {
+        m_store.read(m_port.dutyKind, name, mayBeStale, [this, name, done = std::move(done)](const auto& answer) {
             if (!answer) {
                 done(tl::unexpected(answer.error()));
                 return;
             }
             const auto& specification = answer->specification;
             const std::string value = specification.isNull() ? std::string() : toJsonText(specification);
-            done(stored_object { "", name, answer->revision, value });
+            done(stored_object { m_port.dutyKind, name, answer->revision, value });
         });
     };
     access.create = [this, name](const std::string& value, object_access::write_callback done) {
@@ -215,11 +215,13 @@
 {
     if (!isEnabled())
         return;
-    const auto token = m_lease.token();
     const auto& tally = m_reporter.tally();
-    text.gauge("flamingo_duty_held", "Whether this instance holds the duty.", { { "duty", leaseName } }, token != 0);
-    text.gauge("flamingo_duty_token", "Fencing token of the held duty; 0: not held.", { { "duty", leaseName } },
-        static_cast<double>(token));
+    const bool isHeld = m_lease.token() != 0;
+    text.gauge(
+        "flamingo_duty_held", "Whether this instance holds the duty.", { { "duty", leaseName } }, isHeld ? 1 : 0);
+    // A counter, because a gauge is printed with six digits.
+    text.counter("flamingo_duty_token", "Fencing token of the last term here.", { { "duty", leaseName } },
+        m_reporter.lastToken());
     const std::string name = "flamingo_usage_windows_total";
     const std::string help = "Windows by what this instance did with them.";
     text.counter(name, help, { { "step", "recorded" } }, tally.recorded);
--- a/tests/support/platform/platform_node.cpp
+++ b/tests/support/platform/platform_node.cpp
@@ -36,7 +36,8 @@
 
 } // namespace
 
-platform_node::platform_node(const std::string& name, const endpoint& store, const std::string& failureDomain)
+platform_node::platform_node(
+    const std::string& name, const endpoint& store, const std::string& failureDomain, const std::string& furtherBounds)
     : m_callers(freeLoopbackEndpoint())
     , m_readiness(freeLoopbackEndpoint())
     , m_lookups(freeLoopbackEndpoint())
@@ -46,8 +47,8 @@
     const std::string stem = ::testing::TempDir() + name + "-" + std::to_string(m_callers.port);
     m_settingsFile = stem + ".toml";
     m_logFile = stem + ".log";
-    std::ofstream(m_settingsFile) << settingsText(
-        name, m_callers, m_readiness, m_lookups, m_peers, store, failureDomain);
+    std::ofstream(m_settingsFile) << settingsText(name, m_callers, m_readiness, m_lookups, m_peers, store,
+        failureDomain) << furtherBounds;
     restart();
 }
 
--- a/tests/support/platform/platform_node.hpp
+++ b/tests/support/platform/platform_node.hpp
@@ -15,7 +15,9 @@
 public:
     /// @param store the platform's store
     /// @param failureDomain `centro-a` or `centro-b` in the region centro, or `oriente-a` in oriente
-    platform_node(const std::string& name, const endpoint& store, const std::string& failureDomain = "centro-a");
+    /// @param furtherBounds TOML that continues the table of bounds and may begin other tables
+    platform_node(const std::string& name, const endpoint& store, const std::string& failureDomain = "centro-a",
+        const std::string& furtherBounds = "");
     ~platform_node();
 
     /// Starts the program again with the same settings. The previous process must have ended.
--- a/tests/support/platform/platform_store_stand_in.cpp
+++ b/tests/support/platform/platform_store_stand_in.cpp
@@ -161,6 +161,16 @@
     return R"({"items":[)" + items + R"(],"more":false,"at":)" + std::to_string(m_revision) + "}";
 }
 
+std::string platform_store_stand_in::read(const std::string& kind, const std::string& name, int& status) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto objects = m_objects.find(kind);
+    if (objects != m_objects.end() && objects->second.contains(name))
+        return toJson(name, objects->second.at(name));
+    status = Poco::Net::HTTPResponse::HTTP_NOT_FOUND;
+    return "{}";
+}
+
 std::string platform_store_stand_in::watch(const std::string& kind, std::uint64_t after, int waitMs, int& status)
 {
     std::unique_lock lock(m_mutex);
@@ -247,6 +257,8 @@
         answer = write(request.getMethod(), path, body, status);
     else if (isWatch)
         answer = watch(path[1], after, waitMs, status);
+    else if (path.size() > 2)
+        answer = read(path[1], path[2], status);
     else
         answer = list(path[1]);
     waitWhileSilent();
--- a/tests/support/platform/platform_store_stand_in.hpp
+++ b/tests/support/platform/platform_store_stand_in.hpp
@@ -70,6 +70,7 @@
 
     void serve(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response);
     void waitWhileSilent() const;
+    std::string read(const std::string& kind, const std::string& name, int& status) const;
     std::string list(const std::string& kind) const;
     std::string watch(const std::string& kind, std::uint64_t after, int waitMs, int& status);
     std::string write(
