--- a/src/flamingoroute/peers/envelope.hpp
+++ b/src/flamingoroute/peers/envelope.hpp
@@ -39,6 +39,8 @@
     store_batch = 62,
     quarantine_forward = 63,
     forwarded = 64,
+    usage_counts = 70,
+    usage_sum = 71,
 };
 
 /// A message between two processes of the system.
