--- a/tests/support/platform/platform_node.cpp
+++ b/tests/support/platform/platform_node.cpp
@@ -17,12 +17,14 @@
 constexpr milliseconds pollStep { 20 };
 
 std::string settingsText(const std::string& name, const endpoint& callers, const endpoint& readiness,
-    const endpoint& lookups, const endpoint& peers, const endpoint& store, const std::string& domain)
+    const endpoint& lookups, const endpoint& peers, const endpoint& store, const std::string& domain,
+    const platform_node_limits& limits)
 {
     std::ostringstream text;
     text << "[self]\nnode_name = \"" << name << "\"\nip = \"" << peers.address << "\"\nzone = \"" << domain
          << "\"\nregion = \"" << domain.substr(0, domain.find('-')) << "\"\nfirst_start = true\n"
-         << "[self.limits]\nfile_descriptors = 1024\n"
+         << "[self.limits]\nfile_descriptors = " << limits.fileDescriptors << "\nmemory_mb = " << limits.memoryMegabytes
+         << "\n"
          << "[network]\ninternal_port_range = [" << peers.port << "," << peers.port << "]\n"
          << "[network.listen_addresses]\nfrontend = \"" << toString(callers) << "\"\nready = \"" << toString(readiness)
          << "\"\ndirectory = \"" << toString(lookups) << "\"\n"
@@ -36,7 +38,8 @@
 
 } // namespace
 
-platform_node::platform_node(const std::string& name, const endpoint& store, const std::string& failureDomain)
+platform_node::platform_node(const std::string& name, const endpoint& store, const std::string& failureDomain,
+    const platform_node_limits& limits)
     : m_callers(freeLoopbackEndpoint())
     , m_readiness(freeLoopbackEndpoint())
     , m_lookups(freeLoopbackEndpoint())
@@ -47,7 +50,7 @@
     m_settingsFile = stem + ".toml";
     m_logFile = stem + ".log";
     std::ofstream(m_settingsFile) << settingsText(
-        name, m_callers, m_readiness, m_lookups, m_peers, store, failureDomain);
+        name, m_callers, m_readiness, m_lookups, m_peers, store, failureDomain, limits);
     restart();
 }
 
--- a/tests/support/platform/platform_node.hpp
+++ b/tests/support/platform/platform_node.hpp
@@ -10,12 +10,20 @@
 
 namespace flamingoroute::testing {
 
+/// Limits that the platform sets for a node.
+struct platform_node_limits {
+    int memoryMegabytes = 260;
+    int fileDescriptors = 1024;
+};
+
 /// Runs flamingo-node as a process, with a settings file in the platform's format.
 class platform_node {
 public:
     /// @param store the platform's store
     /// @param failureDomain `centro-a` or `centro-b` in the region centro, or `oriente-a` in oriente
-    platform_node(const std::string& name, const endpoint& store, const std::string& failureDomain = "centro-a");
+    /// @param limits written to the settings file
+    platform_node(const std::string& name, const endpoint& store, const std::string& failureDomain = "centro-a",
+        const platform_node_limits& limits = {});
     ~platform_node();
 
     /// Starts the program again with the same settings. The previous process must have ended.
