Bound the memory and the connections that callers occupy

Cause: bodies were bounded one by one and held up to three times (exchange, copy of the request, outgoing buffer), heads were judged only after their body, and a full listener did not count closed connections out until its list had doubled. Now all incomplete heads and bodies share one budget (0.625 of the memory limit); a customer, and the callers without a key, get three quarters of it at most with more than one body; short of room, slow bodies are evicted first, then those of the owner with the most. Route, key and deadline are checked on the head of a body over 16 KiB. A body is shared by all attempts and written behind its head without a copy. A full listener closes its longest idle connection. Allocations from 128 KiB are returned to the kernel. Look-ups, readiness and metrics take bodies of 4 KiB at most.

--- a/apps/flamingo_node.cpp
+++ b/apps/flamingo_node.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/io_context.hpp>
 #include <gflags/gflags.h>
 
+#include <malloc.h>
+
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -23,8 +25,13 @@
 
 using namespace flamingoroute;
 
+/// Larger allocations go back to the kernel when they are freed. Without a fixed threshold glibc raises it with the
+/// sizes in use, and the memory of freed bodies stays with the process.
+constexpr int mappedAllocationBytes = 128 << 10U;
+
 exit_code run(const std::string& path, node_settings settings)
 {
+    mallopt(M_MMAP_THRESHOLD, mappedAllocationBytes);
     std::signal(SIGPIPE, SIG_IGN);
     startLogging("flamingo-node", settings.instance.value(), FLAGS_log_level);
     if (FLAGS_metrics_port > 0)
--- a/src/flamingoroute/proxy/caller_connection.cpp
+++ b/src/flamingoroute/proxy/caller_connection.cpp
@@ -1,15 +1,13 @@
 #include "flamingoroute/proxy/caller_connection.hpp"
 
-#include "flamingoroute/proxy/framing_meter.hpp"
 #include "flamingoroute/proxy/http_text.hpp"
-#include "flamingoroute/proxy/internal/beast_fields.hpp"
+#include "flamingoroute/proxy/internal/request_reader.hpp"
 #include "flamingoroute/requests/header_rules.hpp"
 
 #include <Poco/Net/HTTPResponse.h>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
+#include <algorithm>
 #include <optional>
 
 namespace flamingoroute {
@@ -24,6 +22,8 @@
 constexpr std::size_t maxOpenRequests = 64;
 /// How long a caller may pause inside a body.
 constexpr milliseconds bodyIdleTimeout { 10000 };
+/// How long a body may take: no request has longer from its arrival until its deadline.
+constexpr milliseconds bodyTimeout { 60000 };
 const std::string continueText = "HTTP/1.1 100 Continue\r\n\r\n";
 
 caller_answer plainAnswer(int status, const std::string& text)
@@ -58,27 +58,13 @@
     bool isLast = false; ///< the caller or a rejection ends the connection with this answer
 };
 
-struct caller_connection::request_reader {
-    http::request_parser<http::string_body> parser;
-    framing_meter framing;
-    monotonic_time startedAt;
-    bool hasSentContinue = false;
-
-    explicit request_reader(const caller_limits& limits)
-        : framing(limits.headerBytes)
-        , startedAt(monotonicNow())
-    {
-        parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
-        parser.body_limit(limits.bodyBytes);
-        parser.eager(true);
-    }
-};
-
-caller_connection::caller_connection(asio::ip::tcp::socket socket, request_handler handler, limits_query limits)
+caller_connection::caller_connection(asio::ip::tcp::socket socket, request_handler handler, limits_query limits,
+    std::shared_ptr<const body_policy> bodies)
     : m_socket(std::move(socket))
     , m_timer(m_socket.get_executor())
     , m_handler(std::move(handler))
     , m_limitsQuery(std::move(limits))
+    , m_bodies(std::move(bodies))
     , m_limits(m_limitsQuery())
     , m_lastActivity(monotonicNow())
 {
@@ -145,6 +131,8 @@
                 Poco::Net::HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE, "the framing of the body is too large"));
             return;
         }
+        if (!mayReadOn(unread))
+            return;
         if (needsMore) {
             armTimer();
             return;
@@ -160,6 +148,20 @@
     }
 }
 
+/// Refuses the request that is being read if its head or the memory calls for it.
+bool caller_connection::mayReadOn(std::size_t unread)
+{
+    const auto evict = [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && self->m_reader)
+            self->reject(self->m_bodies->refuse(body_refusal::evicted));
+    };
+    const auto refusal = m_reader->refusal(*m_bodies, unread, evict);
+    if (refusal)
+        reject(*refusal);
+    return !refusal;
+}
+
 void caller_connection::sendContinueIfExpected()
 {
     const bool isExpected = m_reader->parser.is_header_done() && !m_reader->hasSentContinue && m_pending.empty()
@@ -173,18 +175,13 @@
 
 void caller_connection::onRequest()
 {
-    auto message = m_reader->parser.release();
-    m_reader.reset();
-    if (!hasKnownFraming(message)) {
+    const auto reader = std::move(m_reader);
+    if (!hasKnownFraming(reader->parser.get())) {
         reject(plainAnswer(Poco::Net::HTTPResponse::HTTP_BAD_REQUEST, "unsupported transfer coding"));
         return;
     }
     auto exchange = std::make_shared<caller_exchange>();
-    exchange->request.method = std::string(message.method_string());
-    exchange->request.target = std::string(message.target());
-    exchange->request.headers = headersOf(message);
-    exchange->request.isKeepAlive = message.keep_alive();
-    exchange->request.body = std::move(message.body());
+    exchange->request = reader->release();
     exchange->arrivedAt = monotonicNow();
     auto entry = std::make_shared<pending_answer>();
     entry->exchange = exchange;
@@ -203,6 +200,8 @@
 
 void caller_connection::reject(caller_answer answer)
 {
+    if (m_bodies->onRejected)
+        m_bodies->onRejected(answer.status);
     stopReadingRequests();
     auto entry = std::make_shared<pending_answer>();
     entry->answer = std::move(answer);
@@ -218,6 +217,7 @@
     m_closesWhenIdle = m_closesWhenIdle || closesWhenIdle;
     pending.answer = std::move(answer);
     pending.exchange->onDisconnect = nullptr;
+    pending.exchange->request.body = {};
     flush();
 }
 
@@ -310,7 +310,7 @@
     if (m_reader && !m_reader->parser.is_header_done())
         return m_reader->startedAt + m_limits.headerTimeout;
     if (m_reader)
-        return m_lastActivity + bodyIdleTimeout;
+        return std::min<monotonic_time>(m_lastActivity + bodyIdleTimeout, m_reader->startedAt + bodyTimeout);
     return m_lastActivity + m_limits.idleTimeout;
 }
 
@@ -356,6 +356,12 @@
     }
 }
 
+bool caller_connection::isIdle() const
+{
+    const bool hasBody = m_reader && m_reader->parser.is_header_done();
+    return m_pending.empty() && !m_isWriting && !hasBody;
+}
+
 void caller_connection::close()
 {
     if (m_isClosed)
--- a/src/flamingoroute/proxy/caller_connection.hpp
+++ b/src/flamingoroute/proxy/caller_connection.hpp
@@ -3,6 +3,7 @@
 
 #include "flamingoroute/model/caller_limits.hpp"
 #include "flamingoroute/model/monotonic_time.hpp"
+#include "flamingoroute/proxy/body_policy.hpp"
 #include "flamingoroute/proxy/caller_exchange.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -16,6 +17,8 @@
 
 namespace flamingoroute {
 
+class request_reader;
+
 /// A caller's connection: reads pipelined requests, passes each to the handler immediately and answers them in order.
 class caller_connection : public std::enable_shared_from_this<caller_connection> {
 public:
@@ -24,7 +27,9 @@
 
     /// @param handler called for each complete request
     /// @param limits called at the start of each request
-    caller_connection(boost::asio::ip::tcp::socket socket, request_handler handler, limits_query limits);
+    /// @param bodies decides which bodies are read
+    caller_connection(boost::asio::ip::tcp::socket socket, request_handler handler, limits_query limits,
+        std::shared_ptr<const body_policy> bodies);
     ~caller_connection();
 
     void start();
@@ -37,13 +42,22 @@
 
     bool isClosed() const { return m_isClosed; }
 
+    /// @return whether neither a body nor an answer is on its way
+    bool isIdle() const;
+
+    /// @return when bytes last arrived or were sent
+    monotonic_time lastActivity() const { return m_lastActivity; }
+
+    /// Closes the connection at once. Requests that are being handled are given up.
+    void abort() { onDisconnected(); }
+
 private:
     struct pending_answer;
-    struct request_reader;
 
     void read();
     void onRead(const boost::system::error_code& errorCode, std::size_t size);
     void parseBytes();
+    bool mayReadOn(std::size_t unread);
     void onRequest();
     void sendContinueIfExpected();
     void reject(caller_answer answer);
@@ -66,6 +80,7 @@
     boost::asio::steady_timer m_timer;
     request_handler m_handler;
     limits_query m_limitsQuery;
+    std::shared_ptr<const body_policy> m_bodies;
     caller_limits m_limits;
     std::array<char, 8192> m_incoming {};
     std::string m_unread;
--- a/src/flamingoroute/proxy/client_connection.cpp
+++ b/src/flamingoroute/proxy/client_connection.cpp
@@ -129,7 +129,8 @@
     m_connectTime = microseconds(0);
     m_isHead = request.method == "HEAD";
     m_requestId = m_idHeader.empty() ? std::string() : headerValue(request.headers, m_idHeader);
-    m_outgoing = serializeHttp(request);
+    m_outgoing = serializeHead(request);
+    m_outgoingBody = request.body;
     m_reader = std::make_unique<answer_reader>(m_isHead, m_budget);
     if (m_isConnected)
         write();
@@ -177,12 +178,13 @@
 {
     m_hasSent = true;
     m_isWriting = true;
-    asio::async_write(
-        m_socket, asio::buffer(m_outgoing), [self = shared_from_this()](const socket_error& errorCode, std::size_t) {
-            self->m_isWriting = false;
-            if (errorCode)
-                self->onConnectionError(errorCode);
-        });
+    const std::array<asio::const_buffer, 2> parts { asio::buffer(m_outgoing), asio::buffer(m_outgoingBody.text()) };
+    asio::async_write(m_socket, parts, [self = shared_from_this()](const socket_error& errorCode, std::size_t) {
+        self->m_isWriting = false;
+        self->m_outgoingBody = {};
+        if (errorCode)
+            self->onConnectionError(errorCode);
+    });
 }
 
 void client_connection::read()
--- a/src/flamingoroute/proxy/client_connection.hpp
+++ b/src/flamingoroute/proxy/client_connection.hpp
@@ -73,7 +73,8 @@
     std::string m_idHeader;
     std::shared_ptr<byte_budget> m_budget;
     std::string m_requestId;
-    std::string m_outgoing;
+    std::string m_outgoing; ///< the head; the body follows it
+    shared_body m_outgoingBody; ///< held until it is written
     std::array<char, 16384> m_incoming {};
     std::string m_unread;
     std::unique_ptr<answer_reader> m_reader;
--- a/src/flamingoroute/proxy/http_listener.cpp
+++ b/src/flamingoroute/proxy/http_listener.cpp
@@ -3,6 +3,8 @@
 #include "flamingoroute/model/error.hpp"
 #include "flamingoroute/report/event_log.hpp"
 
+#include <algorithm>
+
 namespace flamingoroute {
 
 namespace asio = boost::asio;
@@ -16,13 +18,14 @@
 
 } // namespace
 
-http_listener::http_listener(
-    asio::io_context& loop, caller_connection::request_handler handler, caller_connection::limits_query limits)
+http_listener::http_listener(asio::io_context& loop, caller_connection::request_handler handler,
+    caller_connection::limits_query limits, body_policy bodies)
     : m_loop(loop)
     , m_acceptor(loop)
     , m_acceptRetryTimer(loop)
     , m_handler(std::move(handler))
     , m_limits(std::move(limits))
+    , m_bodies(std::make_shared<const body_policy>(std::move(bodies)))
 {
 }
 
@@ -71,17 +74,39 @@
 
 void http_listener::serveConnection(asio::ip::tcp::socket socket)
 {
-    if (m_connections.size() >= m_cleanupThreshold)
+    if (m_connections.size() >= std::min(m_cleanupThreshold, m_maxConnections))
         removeClosed();
     if (m_connections.size() >= m_maxConnections) {
-        event_line(log_level::warn, "http.connection_refused").with("limit", m_maxConnections);
-        return;
+        ++m_refused;
+        const bool hasRoom = closeLongestIdle();
+        event_line(log_level::warn, hasRoom ? "http.connection_closed" : "http.connection_refused")
+            .with("reason", "too_many_connections")
+            .with("limit", m_maxConnections);
+        if (!hasRoom)
+            return;
     }
-    auto connection = std::make_shared<caller_connection>(std::move(socket), m_handler, m_limits);
+    auto connection = std::make_shared<caller_connection>(std::move(socket), m_handler, m_limits, m_bodies);
     m_connections.push_back(connection);
     connection->start();
 }
 
+bool http_listener::closeLongestIdle()
+{
+    std::shared_ptr<caller_connection> longest;
+    for (const auto& weak : m_connections) {
+        const auto connection = weak.lock();
+        const bool isLonger = connection && !connection->isClosed() && connection->isIdle()
+            && (!longest || connection->lastActivity() < longest->lastActivity());
+        if (isLonger)
+            longest = connection;
+    }
+    if (!longest)
+        return false;
+    longest->abort();
+    removeClosed();
+    return true;
+}
+
 void http_listener::removeClosed()
 {
     constexpr std::size_t minCleanupThreshold = 64;
--- a/src/flamingoroute/proxy/http_request.hpp
+++ b/src/flamingoroute/proxy/http_request.hpp
@@ -1,6 +1,7 @@
 #ifndef FLAMINGOROUTE_PROXY_HTTP_REQUEST_HPP
 #define FLAMINGOROUTE_PROXY_HTTP_REQUEST_HPP
 
+#include "flamingoroute/proxy/shared_body.hpp"
 #include "flamingoroute/requests/http_header.hpp"
 
 #include <string>
@@ -13,7 +14,7 @@
     std::string method;
     std::string target; ///< path and query
     std::vector<http_header> headers;
-    std::string body;
+    shared_body body;
     bool isKeepAlive = true;
 
     bool operator==(const http_request&) const = default;
--- a/src/flamingoroute/proxy/http_text.cpp
+++ b/src/flamingoroute/proxy/http_text.cpp
@@ -33,14 +33,13 @@
 
 } // namespace
 
-std::string serializeHttp(const http_request& request)
+std::string serializeHead(const http_request& request)
 {
     std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
     appendHeaders(text, request.headers);
     if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD"))
         appendHeader(text, "Content-Length", std::to_string(request.body.size()));
     text += "\r\n";
-    text += request.body;
     return text;
 }
 
--- a/src/flamingoroute/proxy/http_text.hpp
+++ b/src/flamingoroute/proxy/http_text.hpp
@@ -8,9 +8,9 @@
 
 namespace flamingoroute {
 
-/// @return @p request as HTTP/1.1 text without hop-by-hop headers, and with a Content-Length except for GET and HEAD
-///         without a body
-std::string serializeHttp(const http_request& request);
+/// @return the head of @p request as HTTP/1.1 text without hop-by-hop headers, and with a Content-Length except for GET
+///         and HEAD without a body
+std::string serializeHead(const http_request& request);
 
 /// @return @p answer as HTTP/1.1 text without hop-by-hop headers, and with a Content-Length except for 204 and 304
 /// @param answer for 204 and 304 its body must be empty
--- a/src/flamingoroute/requests/request_hash.cpp
+++ b/src/flamingoroute/requests/request_hash.cpp
@@ -4,12 +4,12 @@
 
 namespace flamingoroute {
 
-std::string hashOf(const std::vector<std::string>& parts)
+std::string hashOf(std::initializer_list<std::string_view> parts)
 {
     Poco::SHA2Engine engine;
     for (const auto& part : parts) {
         engine.update(std::to_string(part.size()) + ":");
-        engine.update(part);
+        engine.update(part.data(), part.size());
     }
     return Poco::DigestEngine::digestToHex(engine.digest());
 }
--- a/src/flamingoroute/runtime/serving_node.cpp
+++ b/src/flamingoroute/runtime/serving_node.cpp
@@ -1,9 +1,10 @@
 #include "flamingoroute/runtime/serving_node.hpp"
 
 #include "flamingoroute/report/event_log.hpp"
-#include "flamingoroute/report/metrics_text.hpp"
+#include "flamingoroute/serving/body_policies.hpp"
 #include "flamingoroute/serving/local_answer.hpp"
 #include "flamingoroute/serving/request_flow.hpp"
+#include "flamingoroute/serving/serving_metrics.hpp"
 
 #include <csignal>
 
@@ -30,6 +31,15 @@
 constexpr std::size_t callerDescriptorDivisor = 2;
 constexpr std::size_t sideConnections = 256;
 
+/// Requests for look-ups, readiness and metrics have no body of any use.
+caller_limits sideLimits()
+{
+    constexpr std::size_t maxSideBodyBytes = 4096;
+    caller_limits limits;
+    limits.bodyBytes = maxSideBodyBytes;
+    return limits;
+}
+
 member selfOf(const node_settings& settings)
 {
     member self;
@@ -63,13 +73,14 @@
               [this](const store_batch& batch) { m_watch.applyBatch(batch); } })
     , m_callers(
           loop, [this](auto exchange) { serve(std::move(exchange)); },
-          [this] { return m_state.table ? m_state.table->configuration().limits : caller_limits {}; })
+          [this] { return m_state.table ? m_state.table->configuration().limits : caller_limits {}; },
+          makeBodyPolicy(m_state))
     , m_readiness(
-          loop, [this](auto exchange) { answerReadiness(*exchange); }, [] { return caller_limits {}; })
+          loop, [this](auto exchange) { answerReadiness(*exchange); }, sideLimits)
     , m_lookups(
-          loop, [this](auto exchange) { answerLookup(*exchange); }, [] { return caller_limits {}; })
+          loop, [this](auto exchange) { answerLookup(*exchange); }, sideLimits)
     , m_metrics(
-          loop, [this](auto exchange) { answerMetrics(*exchange); }, [] { return caller_limits {}; })
+          loop, [this](auto exchange) { answerMetrics(*exchange); }, sideLimits)
     , m_signals(loop, SIGTERM, SIGINT, SIGHUP)
     , m_startTimer(loop)
     , m_timer(loop)
@@ -282,20 +293,8 @@
 
 void serving_node::answerMetrics(const caller_exchange& exchange) const
 {
-    metrics_text text;
-    for (const auto& [decision, count] : m_state.counters.decisions)
-        text.counter("flamingo_requests_total", "Requests by decision.", { { "decision", decision } }, count);
-    for (const auto& [outcome, count] : m_state.counters.attempts)
-        text.counter("flamingo_attempts_total", "Attempts by outcome.", { { "outcome", outcome } }, count);
-    text.counter("flamingo_retries_total", "Retried attempts.", {}, m_state.counters.retries);
-    text.counter("flamingo_upstream_connections_total", "Connections opened to upstreams.", {},
-        m_state.connections.openedCount());
-    text.histogram("flamingo_answer_seconds", "Time to an upstream's answer.", {}, m_state.counters.answerTime);
-    text.gauge("flamingo_configuration_version", "Version in force.", {},
-        m_state.table ? static_cast<double>(m_state.table->version()) : 0);
-    text.gauge("flamingo_members_heard", "Reachable instances.", {},
-        static_cast<double>(m_state.members.reachableCount(monotonicNow())));
-    exchange.answer(caller_answer { 200, { { "Content-Type", "text/plain; version=0.0.4" } }, text.text() }, false);
+    const auto text = metricsOf(m_state, m_callers.refusedCount());
+    exchange.answer(caller_answer { 200, { { "Content-Type", "text/plain; version=0.0.4" } }, text }, false);
 }
 
 void serving_node::waitForSignal()
--- a/src/flamingoroute/serving/request_admission.cpp
+++ b/src/flamingoroute/serving/request_admission.cpp
@@ -69,14 +69,7 @@
 
 std::optional<local_refusal> request_admission::admit(const caller_exchange& exchange, admitted_request& admitted) const
 {
-    admitted.table = m_state.table;
-    if (const auto refusal = checkForm(exchange, admitted))
-        return refusal;
-    if (const auto refusal = findRule(exchange, admitted))
-        return refusal;
-    if (const auto refusal = authenticate(exchange, admitted))
-        return refusal;
-    if (const auto refusal = setDeadline(exchange, admitted))
+    if (const auto refusal = admitHead(exchange, admitted))
         return refusal;
     if (const auto refusal = checkQuarantine(exchange, admitted))
         return refusal;
@@ -86,6 +79,19 @@
     return std::nullopt;
 }
 
+std::optional<local_refusal> request_admission::admitHead(
+    const caller_exchange& exchange, admitted_request& admitted) const
+{
+    admitted.table = m_state.table;
+    if (const auto refusal = checkForm(exchange, admitted))
+        return refusal;
+    if (const auto refusal = findRule(exchange, admitted))
+        return refusal;
+    if (const auto refusal = authenticate(exchange, admitted))
+        return refusal;
+    return setDeadline(exchange, admitted);
+}
+
 std::optional<local_refusal> request_admission::checkForm(
     const caller_exchange& exchange, admitted_request& admitted) const
 {
@@ -180,7 +186,7 @@
 {
     const auto& request = exchange.request;
     const std::string customer = admitted.customer == nullptr ? std::string() : admitted.customer->name.value();
-    return hashOf({ admitted.rule->host, request.method, request.target, customer, request.body });
+    return hashOf({ admitted.rule->host, request.method, request.target, customer, request.body.text() });
 }
 
 } // namespace flamingoroute
--- a/src/flamingoroute/serving/request_admission.hpp
+++ b/src/flamingoroute/serving/request_admission.hpp
@@ -21,6 +21,11 @@
     /// @return the refusal; empty if the request may run
     std::optional<local_refusal> admit(const caller_exchange& exchange, admitted_request& admitted) const;
 
+    /// Checks what the head alone decides: form, rule, key and deadline. Counts nothing.
+    /// @param exchange its body may still be on its way
+    /// @return the refusal; empty if the body is worth reading
+    std::optional<local_refusal> admitHead(const caller_exchange& exchange, admitted_request& admitted) const;
+
 private:
     std::optional<local_refusal> checkForm(const caller_exchange& exchange, admitted_request& admitted) const;
     std::optional<local_refusal> findRule(const caller_exchange& exchange, admitted_request& admitted) const;
--- a/src/flamingoroute/serving/serving_counters.hpp
+++ b/src/flamingoroute/serving/serving_counters.hpp
@@ -13,6 +13,7 @@
 struct serving_counters {
     std::map<std::string, std::uint64_t> decisions; ///< by the name of the decision that ended a request
     std::map<std::string, std::uint64_t> attempts; ///< by outcome
+    std::map<int, std::uint64_t> rejections; ///< requests answered before they were complete, by status
     std::uint64_t retries = 0;
     latency_histogram answerTime; ///< of requests that an upstream answered
 };
--- a/src/flamingoroute/serving/serving_state.hpp
+++ b/src/flamingoroute/serving/serving_state.hpp
@@ -8,6 +8,7 @@
 #include "flamingoroute/placement/cold_gate.hpp"
 #include "flamingoroute/placement/shift_limiter.hpp"
 #include "flamingoroute/placement/upstream_directory.hpp"
+#include "flamingoroute/proxy/body_budget.hpp"
 #include "flamingoroute/proxy/header_names.hpp"
 #include "flamingoroute/requests/quarantine_table.hpp"
 #include "flamingoroute/routing/routing_table.hpp"
@@ -31,6 +32,10 @@
 /// Part of the memory for answers that are not complete yet; a complete one is copied once on its way to the caller.
 inline constexpr std::size_t answerMemoryDivisor = 6;
 
+/// Part of the memory for the bodies of requests. The largest body that a configuration of the users allows, 64 MiB,
+/// fits into it on an instance with 112 MiB. The rest is left for answers, connections and the program itself.
+inline constexpr double requestMemoryShare = 0.625;
+
 /// State shared by all requests of an instance. Accessed only from the event loop's thread.
 struct serving_state {
     serving_state(boost::asio::io_context& ioContext, const node_settings& nodeSettings, const header_names& names,
@@ -48,6 +53,8 @@
         , quarantine(quarantine_limits {})
         , paths(nodeSettings.region)
         , connections(ioContext, names.requestId, nodeSettings.memoryLimitBytes / answerMemoryDivisor)
+        , bodies(std::make_shared<body_budget>(
+              static_cast<std::size_t>(requestMemoryShare * static_cast<double>(nodeSettings.memoryLimitBytes))))
     {
     }
 
@@ -68,6 +75,7 @@
     recent_objects objects;
     path_delays paths;
     upstream_connection_pool connections;
+    std::shared_ptr<body_budget> bodies;
     serving_counters counters;
     std::unordered_map<const request_flow*, std::weak_ptr<request_flow>> openRequests;
     bool isLeaving = false; ///< the instance is shutting down: each answer closes its connection
--- a/tests/unit/proxy/caller_connection_test.cpp
+++ b/tests/unit/proxy/caller_connection_test.cpp
@@ -1,6 +1,8 @@
 #include "flamingoroute/proxy/http_listener.hpp"
 
 #include "flamingoroute/model/error.hpp"
+#include "flamingoroute/proxy/body_budget.hpp"
+#include "flamingoroute/requests/header_rules.hpp"
 #include "support/process/free_port.hpp"
 
 #include <Poco/Net/StreamSocket.h>
@@ -16,13 +18,16 @@
 /// A listener whose requests the test answers explicitly, and one caller on a raw socket.
 class listener_fixture {
 public:
-    listener_fixture()
+    /// @param bodies decides which bodies are read
+    explicit listener_fixture(body_policy bodies = {})
         : m_listener(
-            m_loop, [this](auto exchange) { handle(std::move(exchange)); }, [this] { return limits; })
+            m_loop, [this](auto exchange) { handle(std::move(exchange)); }, [this] { return limits; },
+            std::move(bodies))
     {
         const auto where = testing::freeLoopbackEndpoint();
         EXPECT_TRUE(m_listener.listen(where, 16));
-        m_caller.connect(Poco::Net::SocketAddress(where.address, where.port));
+        m_address = Poco::Net::SocketAddress(where.address, where.port);
+        m_caller.connect(m_address);
         m_caller.setReceiveTimeout(Poco::Timespan(0, 20'000));
     }
 
@@ -59,6 +64,7 @@
     }
 
     http_listener& listener() { return m_listener; }
+    const Poco::Net::SocketAddress& address() const { return m_address; }
 
     caller_limits limits;
     std::vector<std::shared_ptr<caller_exchange>> open;
@@ -75,6 +81,7 @@
 
     boost::asio::io_context m_loop;
     http_listener m_listener;
+    Poco::Net::SocketAddress m_address;
     Poco::Net::StreamSocket m_caller;
 };
 
@@ -102,8 +109,69 @@
     EXPECT_GT(text.find("Connection: close"), text.find("two"));
 }
 
+/// @return a policy with memory for @p bytes; heads are refused with the status in a header `Refuse`
+body_policy policyFor(std::size_t bytes)
+{
+    body_policy policy;
+    policy.admit = [](const http_request& head) {
+        const auto status = headerValue(head.headers, "Refuse");
+        return status.empty() ? body_admission { {}, "owner" }
+                              : body_admission { caller_answer { std::stoi(status), {}, "refused" }, {} };
+    };
+    policy.refuse = [](body_refusal) { return caller_answer { 503, {}, "no room" }; };
+    policy.budget = std::make_shared<body_budget>(bytes);
+    return policy;
+}
+
 } // namespace
 
+TEST(caller_connection, refuses_a_large_body_by_its_head_and_never_hands_it_on)
+{
+    listener_fixture node(policyFor(1U << 20U));
+    node.send("POST /1 HTTP/1.1\r\nHost: a\r\nRefuse: 401\r\nContent-Length: 100000\r\n\r\nab");
+    EXPECT_EQ(node.receive().rfind("HTTP/1.1 401", 0), 0U);
+    node.send(std::string(99998, 'x'));
+    EXPECT_TRUE(node.open.empty());
+}
+
+TEST(caller_connection, refuses_a_body_without_room_and_returns_its_memory)
+{
+    const auto policy = policyFor(300000);
+    listener_fixture node(policy);
+    node.send("POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 500000\r\n\r\n" + std::string(400000, 'x'));
+    EXPECT_EQ(node.receive().rfind("HTTP/1.1 503", 0), 0U);
+    EXPECT_TRUE(node.open.empty());
+    EXPECT_EQ(policy.budget->used(), 0U);
+}
+
+TEST(caller_connection, counts_a_body_until_its_request_is_answered)
+{
+    const auto policy = policyFor(1U << 20U);
+    listener_fixture node(policy);
+    node.send("POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n" + std::string(100000, 'x'));
+    ASSERT_EQ(node.open.size(), 1U);
+    EXPECT_GE(policy.budget->used(), 100000U);
+    node.open[0]->answer(answerWithBody("one"), false);
+    EXPECT_EQ(policy.budget->used(), 0U);
+}
+
+TEST(caller_connection, closes_the_connection_that_has_been_idle_for_longest_when_there_are_too_many)
+{
+    listener_fixture node;
+    constexpr int others = 16;
+    std::vector<Poco::Net::StreamSocket> silent;
+    node.send(requestFor("/1"));
+    for (int i = 0; i < others; ++i) {
+        silent.emplace_back();
+        silent.back().connect(node.address());
+        node.run(5);
+    }
+    EXPECT_EQ(node.listener().connectionCount(), 16U);
+    EXPECT_EQ(node.listener().refusedCount(), 1U);
+    node.open[0]->answer(answerWithBody("one"), false);
+    EXPECT_NE(node.receive().find("one"), std::string::npos) << "a connection with an open request is not idle";
+}
+
 TEST(caller_connection, hands_on_all_requests_sent_ahead_and_answers_them_in_their_order)
 {
     listener_fixture node;
