--- a/tests/support/platform/platform_node.cpp
+++ b/tests/support/platform/platform_node.cpp
@@ -17,12 +17,14 @@
 constexpr milliseconds pollStep { 20 };
 
 std::string settingsText(const std::string& name, const endpoint& callers, const endpoint& readiness,
-    const endpoint& lookups, const endpoint& peers, const endpoint& store, const std::string& domain)
+    const endpoint& lookups, const endpoint& peers, const endpoint& store, const std::string& domain,
+    const platform_node_limits& limits)
 {
     std::ostringstream text;
     text << "[self]\nnode_name = \"" << name << "\"\nip = \"" << peers.address << "\"\nzone = \"" << domain
          << "\"\nregion = \"" << domain.substr(0, domain.find('-')) << "\"\nfirst_start = true\n"
-         << "[self.limits]\nfile_descriptors = 1024\n"
+         << "[self.limits]\nfile_descriptors = " << limits.fileDescriptors << "\nmemory_mb = " << limits.memoryMegabytes
+         << "\n"
          << "[network]\ninternal_port_range = [" << peers.port << "," << peers.port << "]\n"
          << "[network.listen_addresses]\nfrontend = \"" << toString(callers) << "\"\nready = \"" << toString(readiness)
          << "\"\ndirectory = \"" << toString(lookups) << "\"\n"
@@ -36,8 +38,8 @@
 
 } // namespace
 
-platform_node::platform_node(
-    const std::string& name, const endpoint& store, const std::string& failureDomain, const std::string& furtherBounds)
+platform_node::platform_node(const std::string& name, const endpoint& store, const std::string& failureDomain,
+    const platform_node_limits& limits, const std::string& furtherBounds)
     : m_callers(freeLoopbackEndpoint())
     , m_readiness(freeLoopbackEndpoint())
     , m_lookups(freeLoopbackEndpoint())
@@ -48,7 +50,7 @@
     m_settingsFile = stem + ".toml";
     m_logFile = stem + ".log";
     std::ofstream(m_settingsFile) << settingsText(name, m_callers, m_readiness, m_lookups, m_peers, store,
-        failureDomain) << furtherBounds;
+        failureDomain, limits) << furtherBounds;
     restart();
 }
 
