Read how long work takes on an upstream from its load header

An upstream whose work took long for a moment, and which said so in the fourth figure of its load header, was treated as slow for seconds after.

- the figure is optional; a malformed one has no effect, and the three counts beside it stay valid;
- the part of a slow answer that the figure explains no longer counts as lasting slowness; what exceeds it still does;
- a figure raises the expected time with a half-life of 150 ms.
A figure below 100 lowers nothing, so that no upstream attracts all callers at once.

Evidence about versions is unchanged: a bad version does not pass by reporting slow work. Counts of a load are now read strictly; the earlier reading took negative and overlong numbers.

With the figure ignored, two of the new tests of upstream_directory fail (does_not_take_slow_work..., expects_more_time...).

--- a/src/flamingoroute/placement/attempt_report.hpp
+++ b/src/flamingoroute/placement/attempt_report.hpp
@@ -12,6 +12,8 @@
     int running = 0;
     int waiting = 0;
     int slots = 0;
+    /// Time that work takes there now, in percent of the usual; empty if not reported.
+    std::optional<double> workTimePercent = std::nullopt;
 
     bool operator==(const reported_load&) const = default;
 };
--- a/src/flamingoroute/placement/upstream_directory.cpp
+++ b/src/flamingoroute/placement/upstream_directory.cpp
@@ -25,6 +25,9 @@
 constexpr microseconds rememberRemovedFor { 60'000'000 };
 constexpr double minSlowness = 0.5;
 constexpr double maxSlowness = 20;
+/// Upstreams that report how long work takes report another value many times a second.
+constexpr microseconds workTimeHalfLife { 150'000 };
+constexpr double usualWorkTimePercent = 100;
 
 microseconds backOffAfter(int failures)
 {
@@ -51,9 +54,31 @@
     return std::exp2(-age / static_cast<double>(halfLife.count()));
 }
 
+double workTimeFactorOf(const std::optional<reported_load>& load)
+{
+    if (!load || !load->workTimePercent)
+        return 1;
+    return std::clamp(*load->workTimePercent / usualWorkTimePercent, 1.0, maxSlowness);
+}
+
+/// @return the time ratio without the part that slow work explains. The upstream reports the work time at the end of
+/// the
+///         answer only, so a slow report does not turn a usual time into a fast one.
+double unexplainedTimeRatio(const attempt_report& report)
+{
+    const double factor = workTimeFactorOf(report.load);
+    return report.timeRatio <= 1 ? report.timeRatio : std::max(1.0, report.timeRatio / factor);
+}
+
+double decayedSlowness(const upstream_state& upstream, monotonic_time now)
+{
+    return 1 + (upstream.slowness - 1) * decayFactor(upstream.healthUpdatedAt, now, healthHalfLife);
+}
+
 void updateLoad(upstream_state& upstream, const reported_load& load, monotonic_time now)
 {
     upstream.othersLoad = std::max(0, load.running + load.waiting - upstream.inFlight);
+    upstream.workTimeFactor = workTimeFactorOf(load);
     upstream.loadReportedAt = now;
 }
 
@@ -71,10 +96,10 @@
     const double failed = isFailure(report.verdict) || isShedWithFreeSlots(report) ? 1 : 0;
     upstream.failureShare = currentFailureShare(upstream, now);
     upstream.failureShare += newestWeight * (failed - upstream.failureShare);
-    upstream.slowness = currentSlowness(upstream, now);
+    upstream.slowness = decayedSlowness(upstream, now);
     upstream.healthUpdatedAt = now;
     if (report.timeRatio > 0) {
-        const double ratio = std::clamp(report.timeRatio, minSlowness, maxSlowness);
+        const double ratio = std::clamp(unexplainedTimeRatio(report), minSlowness, maxSlowness);
         upstream.slowness += newestWeight * (ratio - upstream.slowness);
     }
 }
@@ -93,7 +118,9 @@
 
 double currentSlowness(const upstream_state& upstream, monotonic_time now)
 {
-    return 1 + (upstream.slowness - 1) * decayFactor(upstream.healthUpdatedAt, now, healthHalfLife);
+    const double workTime
+        = 1 + (upstream.workTimeFactor - 1) * decayFactor(upstream.loadReportedAt, now, workTimeHalfLife);
+    return decayedSlowness(upstream, now) * workTime;
 }
 
 double currentFailureShare(const upstream_state& upstream, monotonic_time now)
--- a/src/flamingoroute/placement/upstream_state.hpp
+++ b/src/flamingoroute/placement/upstream_state.hpp
@@ -17,11 +17,13 @@
     int inFlight = 0; ///< requests of this instance without a result yet
     double othersLoad = 0; ///< requests of other instances, running or waiting, as of loadReportedAt
     monotonic_time loadReportedAt;
+    double workTimeFactor = 1; ///< by which the upstream said that work takes longer, as of loadReportedAt; at least 1
     monotonic_time coldUntil;
     monotonic_time backOffUntil; ///< set after failures; other upstreams are preferred until then
     int consecutiveFailures = 0; ///< consecutive attempts without a complete answer
     double failureShare = 0; ///< failed attempts as of healthUpdatedAt, weighted towards the newest
-    double slowness = 1; ///< time per request divided by the expected time, as of healthUpdatedAt
+    double slowness = 1; ///< time per request divided by the expected time, as of healthUpdatedAt, without slow work
+                         ///< that the upstream itself reported
     monotonic_time healthUpdatedAt;
     monotonic_time lastAnswerAt;
     std::optional<double> requestLimit; ///< requests per second from all instances, as named in the last answer
--- a/src/flamingoroute/serving/upstream_answer.cpp
+++ b/src/flamingoroute/serving/upstream_answer.cpp
@@ -3,9 +3,13 @@
 #include "flamingoroute/requests/header_rules.hpp"
 #include "flamingoroute/serving/local_answer.hpp"
 
+#include <Poco/String.h>
+
 #include <charconv>
 #include <cmath>
-#include <cstdio>
+#include <sstream>
+#include <string>
+#include <vector>
 
 namespace flamingoroute {
 
@@ -16,6 +20,8 @@
 constexpr int unavailableStatus = 503;
 /// An upstream that asks for a longer pause is tried again after this time.
 constexpr double maxPauseSeconds = 3600;
+constexpr std::size_t minLoadFigures = 3;
+constexpr double maxReportedCount = 1'000'000;
 constexpr const char* isLeavingValue = "1";
 
 /// @return whether callers conclude from @p status that the request did not run
@@ -34,6 +40,24 @@
     return isValid ? std::optional(number) : std::nullopt;
 }
 
+/// @return the count in @p text; empty if it is none, negative or implausibly large
+std::optional<int> parseCount(const std::string& text)
+{
+    const auto number = parseNumber(text);
+    const bool isCount = number && *number <= maxReportedCount && *number == std::floor(*number);
+    return isCount ? std::optional(static_cast<int>(*number)) : std::nullopt;
+}
+
+/// @return the parts of @p text between commas, without spaces around them
+std::vector<std::string> splitFigures(const std::string& text)
+{
+    std::vector<std::string> figures;
+    std::istringstream rest(text);
+    for (std::string figure; std::getline(rest, figure, ',');)
+        figures.push_back(Poco::trim(figure));
+    return figures;
+}
+
 } // namespace
 
 upstream_answer interpretExchange(const exchange_result& result, const header_names& names)
@@ -71,10 +95,17 @@
 
 std::optional<reported_load> parseLoad(const caller_answer& answer, const header_names& names)
 {
-    const std::string text = headerValue(answer.headers, names.load);
-    reported_load load;
-    if (text.empty() || std::sscanf(text.c_str(), "%d,%d,%d", &load.running, &load.waiting, &load.slots) != 3)
+    const auto figures = splitFigures(headerValue(answer.headers, names.load));
+    if (figures.size() < minLoadFigures)
+        return std::nullopt;
+    const auto running = parseCount(figures[0]);
+    const auto waiting = parseCount(figures[1]);
+    const auto slots = parseCount(figures[2]);
+    if (!running || !waiting || !slots)
         return std::nullopt;
+    reported_load load { *running, *waiting, *slots, std::nullopt };
+    if (figures.size() > minLoadFigures)
+        load.workTimePercent = parseNumber(figures[minLoadFigures]);
     return load;
 }
 
--- a/tests/unit/placement/upstream_directory_test.cpp
+++ b/tests/unit/placement/upstream_directory_test.cpp
@@ -127,6 +127,52 @@
     EXPECT_LT(currentFailureShare(*directory.find(name), at(15'000)), 0.05);
 }
 
+// An upstream that said that work took three times as long was treated as slow for seconds afterwards.
+TEST(upstream_directory, does_not_take_slow_work_that_an_upstream_reported_for_a_lasting_slowness)
+{
+    auto report = reportOf(attempt_verdict::served);
+    report.timeRatio = 3;
+    report.load = reported_load { 2, 0, 6, 300 };
+    auto directory = directoryWithOne();
+    for (int i = 0; i < 10; ++i)
+        directory.recordResult(name, report, coldTime, at(i));
+    EXPECT_NEAR(currentSlowness(*directory.find(name), at(1500)), 1, 0.05);
+}
+
+TEST(upstream_directory, finds_an_upstream_slow_that_takes_longer_than_the_work_time_that_it_reported_explains)
+{
+    auto report = reportOf(attempt_verdict::served);
+    report.timeRatio = 6;
+    report.load = reported_load { 2, 0, 6, 200 };
+    auto directory = directoryWithOne();
+    for (int i = 0; i < 10; ++i)
+        directory.recordResult(name, report, coldTime, at(i));
+    EXPECT_GT(currentSlowness(*directory.find(name), at(1500)), 1.8);
+}
+
+TEST(upstream_directory, expects_more_time_of_an_upstream_that_has_just_reported_slow_work)
+{
+    auto report = reportOf(attempt_verdict::served);
+    report.timeRatio = 1;
+    report.load = reported_load { 2, 0, 6, 300 };
+    auto directory = directoryWithOne();
+    directory.recordResult(name, report, coldTime, at(0));
+    EXPECT_NEAR(currentSlowness(*directory.find(name), at(0)), 3, 0.01);
+    EXPECT_LT(currentSlowness(*directory.find(name), at(600)), 1.2);
+}
+
+TEST(upstream_directory, does_not_prefer_an_upstream_that_reported_fast_work)
+{
+    auto report = reportOf(attempt_verdict::served);
+    report.timeRatio = 1;
+    auto directory = directoryWithOne();
+    for (const double percent : { 0.0, 40.0 }) {
+        report.load = reported_load { 2, 0, 6, percent };
+        directory.recordResult(name, report, coldTime, at(0));
+        EXPECT_DOUBLE_EQ(currentSlowness(*directory.find(name), at(0)), 1);
+    }
+}
+
 TEST(upstream_directory, counts_an_upstream_as_faulty_if_it_sheds_with_free_slots_but_not_if_it_is_full)
 {
     auto report = reportOf(attempt_verdict::shed);
