Let an instance know the loads that upstreams reported to others

An instance knew an upstream's load only from answers to its own requests, one in some 14 s for a pair of instance and upstream. Its estimate was close to its own requests in flight.

Instances add the loads that answers reported to the reports that they send to their relays anyway (24 at most), the first relay adds those of its region to its digests (128 at most, largest changes first). The newest by age counts; own requests sent since then are added; the weight halves every 400 ms as before. A late digest is dropped by its number, and without relays, or with one gone, an instance uses its own view.

Ruled out: a half-life of 1.5 s.

recordSent() takes the time now; the calls in existing tests pass it, their checks are unchanged.

--- a/src/flamingoroute/fleet/fleet_members.cpp
+++ b/src/flamingoroute/fleet/fleet_members.cpp
@@ -288,16 +288,17 @@
     return result;
 }
 
-void fleet_members::recordDigest(const region_digest& digest, monotonic_time now)
+bool fleet_members::recordDigest(const region_digest& digest, monotonic_time now)
 {
     if (!m_digests.record(digest, now))
-        return;
+        return false;
     for (const auto& readiness : digest.members) {
         const auto known = m_others.find(instance_id(readiness.instance));
         if (known == m_others.end())
             continue;
         setReportedReady(known->second, readiness.isReady, now);
     }
+    return true;
 }
 
 std::vector<version_tally> fleet_members::talliesOfOthers(monotonic_time now) const
--- a/src/flamingoroute/fleet/fleet_members.hpp
+++ b/src/flamingoroute/fleet/fleet_members.hpp
@@ -31,7 +31,8 @@
     void recordReport(const fleet_report& report, monotonic_time now);
 
     /// Records the digest of a relay.
-    void recordDigest(const region_digest& digest, monotonic_time now);
+    /// @return false if the digest was ignored because it is late
+    bool recordDigest(const region_digest& digest, monotonic_time now);
 
     /// Records the report that this instance sends. Rate shares follow reported numbers, also those of this instance,
     /// so that all instances split a rate by the same numbers.
--- a/src/flamingoroute/fleet/fleet_report.hpp
+++ b/src/flamingoroute/fleet/fleet_report.hpp
@@ -2,6 +2,7 @@
 #define FLAMINGOROUTE_FLEET_FLEET_REPORT_HPP
 
 #include "flamingoroute/fleet/customer_demand.hpp"
+#include "flamingoroute/fleet/upstream_load.hpp"
 #include "flamingoroute/fleet/version_tally.hpp"
 
 #include <msgpack.hpp>
@@ -24,10 +25,11 @@
     bool isUrgent = false; ///< sent before the regular interval because counts have risen
     std::vector<customer_demand> demand;
     std::vector<version_tally> tallies;
+    std::vector<upstream_load> loads; ///< that answers reported since the last report
 
     bool operator==(const fleet_report&) const = default;
     MSGPACK_DEFINE(instance, failureDomain, region, callerAddress, peerAddress, isReady, isLeaving, hasFullWindow,
-        isUrgent, demand, tallies)
+        isUrgent, demand, tallies, loads)
 };
 
 } // namespace flamingoroute
--- a/src/flamingoroute/fleet/region_digest.hpp
+++ b/src/flamingoroute/fleet/region_digest.hpp
@@ -4,6 +4,7 @@
 #include "flamingoroute/fleet/kind_position.hpp"
 #include "flamingoroute/fleet/member_readiness.hpp"
 #include "flamingoroute/fleet/region_sum.hpp"
+#include "flamingoroute/fleet/upstream_load.hpp"
 
 #include <msgpack.hpp>
 
@@ -26,9 +27,10 @@
     std::vector<region_sum> others;
     bool isStoreConnected = false; ///< the store answered the relay recently
     std::vector<kind_position> positions;
+    std::vector<upstream_load> loads; ///< that instances of the region have reported since the last digest
 
     bool operator==(const region_digest&) const = default;
-    MSGPACK_DEFINE(sender, senderAddress, number, hasSums, sum, members, others, isStoreConnected, positions)
+    MSGPACK_DEFINE(sender, senderAddress, number, hasSums, sum, members, others, isStoreConnected, positions, loads)
 };
 
 } // namespace flamingoroute
--- a/src/flamingoroute/placement/upstream_directory.cpp
+++ b/src/flamingoroute/placement/upstream_directory.cpp
@@ -78,8 +78,9 @@
 void updateLoad(upstream_state& upstream, const reported_load& load, monotonic_time now)
 {
     upstream.othersLoad = std::max(0, load.running + load.waiting - upstream.inFlight);
-    upstream.workTimeFactor = workTimeFactorOf(load);
     upstream.loadReportedAt = now;
+    upstream.workTimeFactor = workTimeFactorOf(load);
+    upstream.workTimeReportedAt = now;
 }
 
 void updateLimit(upstream_state& upstream, const attempt_report& report)
@@ -119,7 +120,7 @@
 double currentSlowness(const upstream_state& upstream, monotonic_time now)
 {
     const double workTime
-        = 1 + (upstream.workTimeFactor - 1) * decayFactor(upstream.loadReportedAt, now, workTimeHalfLife);
+        = 1 + (upstream.workTimeFactor - 1) * decayFactor(upstream.workTimeReportedAt, now, workTimeHalfLife);
     return decayedSlowness(upstream, now) * workTime;
 }
 
@@ -152,6 +153,7 @@
     }
     known.registration = entry;
     known.nameHash = hash64(entry.name.value());
+    m_byShortHash[static_cast<std::uint32_t>(known.nameHash)] = &known;
     known.isLeaving = wasLeaving || entry.isDraining;
     const auto region = m_regions.find(entry.failureDomain);
     known.region = region == m_regions.end() ? region_id() : region->second;
@@ -195,6 +197,9 @@
     std::erase_if(m_removed, [&](const auto& entry) { return now - entry.second.removedAt > rememberRemovedFor; });
     m_removed[name] = { known->second.registration.startedAtMs, known->second.isLeaving, now };
     removeFromService(known->second);
+    const auto byHash = m_byShortHash.find(static_cast<std::uint32_t>(known->second.nameHash));
+    if (byHash != m_byShortHash.end() && byHash->second == &known->second)
+        m_byShortHash.erase(byHash);
     m_upstreams.erase(known);
 }
 
@@ -209,11 +214,26 @@
     m_evacuated = domains;
 }
 
-void upstream_directory::recordSent(const upstream_id& name)
+void upstream_directory::recordSent(const upstream_id& name, monotonic_time now)
 {
     const auto known = m_upstreams.find(name);
-    if (known != m_upstreams.end())
-        ++known->second.inFlight;
+    if (known == m_upstreams.end())
+        return;
+    auto& upstream = known->second;
+    ++upstream.inFlight;
+    upstream.ownRequests.record(upstream.inFlight, now);
+}
+
+void upstream_directory::recordFleetLoad(std::uint32_t nameHash, int requests, monotonic_time measuredAt)
+{
+    const auto known = m_byShortHash.find(nameHash);
+    if (known == m_byShortHash.end())
+        return;
+    auto& upstream = *known->second;
+    if (measuredAt <= upstream.loadReportedAt)
+        return;
+    upstream.othersLoad = std::max(0, requests - upstream.ownRequests.at(measuredAt));
+    upstream.loadReportedAt = measuredAt;
 }
 
 void upstream_directory::takeLimitShare(const upstream_id& name, const limit_share& share, monotonic_time now)
@@ -234,6 +254,7 @@
         return;
     auto& upstream = known->second;
     upstream.inFlight = std::max(0, upstream.inFlight - 1);
+    upstream.ownRequests.record(upstream.inFlight, now);
     if (report.verdict == attempt_verdict::abandoned)
         return;
     updateHealth(upstream, report, now);
--- a/src/flamingoroute/placement/upstream_directory.hpp
+++ b/src/flamingoroute/placement/upstream_directory.hpp
@@ -6,8 +6,10 @@
 #include "flamingoroute/placement/limit_share.hpp"
 #include "flamingoroute/placement/upstream_state.hpp"
 
+#include <cstdint>
 #include <map>
 #include <set>
+#include <unordered_map>
 #include <vector>
 
 namespace flamingoroute {
@@ -32,7 +34,12 @@
     /// @param coldTime how long an upstream counts as cold after the evacuation of its domain ends
     void setEvacuated(const std::set<failure_domain_id>& domains, milliseconds coldTime, monotonic_time now);
 
-    void recordSent(const upstream_id& name);
+    void recordSent(const upstream_id& name, monotonic_time now);
+
+    /// Records the load that an upstream reported to another instance, unless a newer one is known.
+    /// @param nameHash the lower half of the hash of the upstream's name
+    /// @param requests running or waiting there, those of this instance included
+    void recordFleetLoad(std::uint32_t nameHash, int requests, monotonic_time measuredAt);
 
     /// Counts a request against this instance's share of the limit that the upstream named.
     void takeLimitShare(const upstream_id& name, const limit_share& share, monotonic_time now);
@@ -72,6 +79,7 @@
     std::map<upstream_id, upstream_state> m_upstreams;
     std::map<upstream_id, upstream_start> m_removed;
     std::map<service_id, std::vector<const upstream_state*>> m_byService; ///< entries of m_upstreams, sorted by name
+    std::unordered_map<std::uint32_t, upstream_state*> m_byShortHash; ///< entries of m_upstreams
     std::set<failure_domain_id> m_evacuated;
 };
 
--- a/src/flamingoroute/placement/upstream_state.hpp
+++ b/src/flamingoroute/placement/upstream_state.hpp
@@ -3,6 +3,7 @@
 
 #include "flamingoroute/model/monotonic_time.hpp"
 #include "flamingoroute/model/registered_upstream.hpp"
+#include "flamingoroute/placement/in_flight_history.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -15,9 +16,12 @@
     std::uint64_t nameHash = 0; ///< hash64 of the registered name
     region_id region;
     int inFlight = 0; ///< requests of this instance without a result yet
+    in_flight_history ownRequests; ///< inFlight at earlier times
     double othersLoad = 0; ///< requests of other instances, running or waiting, as of loadReportedAt
     monotonic_time loadReportedAt;
-    double workTimeFactor = 1; ///< by which the upstream said that work takes longer, as of loadReportedAt; at least 1
+    double workTimeFactor
+        = 1; ///< by which the upstream said that work takes longer, as of workTimeReportedAt; at least 1
+    monotonic_time workTimeReportedAt;
     monotonic_time coldUntil;
     monotonic_time backOffUntil; ///< set after failures; other upstreams are preferred until then
     int consecutiveFailures = 0; ///< consecutive attempts without a complete answer
--- a/src/flamingoroute/runtime/fleet_gossip.cpp
+++ b/src/flamingoroute/runtime/fleet_gossip.cpp
@@ -23,6 +23,10 @@
 constexpr std::size_t ringCapacity = 1024;
 /// Lower demand is omitted from reports.
 constexpr double minReportedDemand = 0.05;
+/// About the answers that an instance gets between two reports.
+constexpr std::size_t maxLoadsPerReport = 24;
+/// Bounds the bytes of a digest whatever the number of upstreams.
+constexpr std::size_t maxLoadsPerDigest = 128;
 
 void logUnreadable(const envelope& message, const error& failure)
 {
@@ -124,6 +128,10 @@
     auto local = localReport();
     local.isUrgent = isUrgent;
     m_state.members.recordLocalReport(local, m_reportedAt);
+    if (m_state.members.usesRelays()) {
+        local.loads = m_state.measuredLoads.take(maxLoadsPerReport, m_reportedAt);
+        relayLoads(local.loads, m_reportedAt);
+    }
     const std::string body = packMessage(local);
     const auto to = m_state.members.usesRelays() ? m_state.members.relays(monotonicNow()) : m_state.members.others();
     for (const auto& other : to)
@@ -148,6 +156,9 @@
     digest.members = m_state.members.memberReadiness(now);
     m_hooks.describeStore(digest);
     m_state.members.recordDigest(digest, now);
+    // The second relay has the same loads; it would double the bytes.
+    if (m_state.members.isFirstRelay(now))
+        digest.loads = m_relayedLoads.take(maxLoadsPerDigest, now);
     sendToRegion(message_kind::region_digest, packMessage(digest));
 }
 
@@ -264,6 +275,20 @@
     handle(inner);
 }
 
+void fleet_gossip::relayLoads(const std::vector<upstream_load>& loads, monotonic_time now)
+{
+    if (!m_state.members.isRelay(now) || !m_state.members.isFirstRelay(now))
+        return;
+    for (const auto& load : loads)
+        m_relayedLoads.record(load, now);
+}
+
+void fleet_gossip::takeLoads(const std::vector<upstream_load>& loads, monotonic_time now)
+{
+    for (const auto& load : loads)
+        m_state.upstreams.recordFleetLoad(load.upstream, load.requests, now - milliseconds(load.ageMs));
+}
+
 void fleet_gossip::handleReport(const envelope& message)
 {
     const auto report = unpackMessage<fleet_report>(message.body);
@@ -271,7 +296,12 @@
         logUnreadable(message, report.error());
         return;
     }
-    m_state.members.recordReport(*report, monotonicNow());
+    const auto now = monotonicNow();
+    m_state.members.recordReport(*report, now);
+    if (m_state.members.usesRelays()) {
+        relayLoads(report->loads, now);
+        takeLoads(report->loads, now);
+    }
     if (report->isUrgent)
         sendDigest(minDigestGap, true);
     m_hooks.onPeerUpdate();
@@ -284,7 +314,9 @@
         logUnreadable(message, digest.error());
         return;
     }
-    m_state.members.recordDigest(*digest, monotonicNow());
+    const auto now = monotonicNow();
+    if (m_state.members.recordDigest(*digest, now))
+        takeLoads(digest->loads, now);
     m_hooks.onPeerUpdate();
 }
 
--- a/src/flamingoroute/runtime/fleet_gossip.hpp
+++ b/src/flamingoroute/runtime/fleet_gossip.hpp
@@ -3,6 +3,7 @@
 
 #include "flamingoroute/concurrency/bounded_ring.hpp"
 #include "flamingoroute/fleet/fleet_report.hpp"
+#include "flamingoroute/fleet/load_changes.hpp"
 #include "flamingoroute/fleet/message_forwarder.hpp"
 #include "flamingoroute/fleet/region_digest.hpp"
 #include "flamingoroute/fleet/store_batch.hpp"
@@ -65,6 +66,9 @@
     void addSums(region_digest& digest, monotonic_time now);
     void sendToRegion(message_kind kind, const std::string& body);
     void handleForwarded(const envelope& message);
+    /// Adds reported upstream loads to those that the next digest contains, and to the own estimates.
+    void relayLoads(const std::vector<upstream_load>& loads, monotonic_time now);
+    void takeLoads(const std::vector<upstream_load>& loads, monotonic_time now);
     void handleReport(const envelope& message);
     void handleDigest(const envelope& message);
     quarantine_exchange::hooks quarantineHooks();
@@ -75,6 +79,7 @@
     monotonic_time m_reportedAt;
     monotonic_time m_digestAt;
     monotonic_time m_sumsAt;
+    load_changes m_relayedLoads; ///< reported by the instances of the region, to be sent to all of them
     std::uint64_t m_digestNumber; ///< of the last digest; greater than those of earlier processes of this instance
     peer_bus m_bus;
     message_forwarder m_forwarder;
--- a/src/flamingoroute/serving/attempt_recorder.cpp
+++ b/src/flamingoroute/serving/attempt_recorder.cpp
@@ -11,9 +11,21 @@
 #include "flamingoroute/steering/internal/hash64.hpp"
 
 #include <algorithm>
+#include <cstdint>
+#include <limits>
 
 namespace flamingoroute {
 
+namespace {
+
+std::uint16_t requestsIn(const reported_load& load)
+{
+    constexpr int maxRequests = std::numeric_limits<std::uint16_t>::max();
+    return static_cast<std::uint16_t>(std::min(maxRequests, load.running + load.waiting));
+}
+
+} // namespace
+
 attempt_recorder::attempt_recorder(serving_state& state, const admitted_request& request, const sent_attempt& sent)
     : m_state(state)
     , m_request(request)
@@ -102,6 +114,9 @@
     const auto now = monotonicNow();
     const auto limitBefore = requestLimit();
     m_state.upstreams.recordResult(m_sent.upstream.name, report, coldTime, now);
+    if (report.load && m_state.members.usesRelays())
+        m_state.measuredLoads.record(
+            { upstreamHash(hash64(m_sent.upstream.name.value())), requestsIn(*report.load), 0 }, now);
     if (requestLimit() == limitBefore)
         return;
     if (!limitBefore) // the request that revealed the limit counts against it
--- a/src/flamingoroute/serving/request_flow.cpp
+++ b/src/flamingoroute/serving/request_flow.cpp
@@ -146,7 +146,7 @@
     m_request.query.tried.insert(chosen.upstream);
     if (m_mayHaveRun && m_request.customer != nullptr)
         m_state.rates.recordExtraAttempt(*m_request.customer, now);
-    m_state.upstreams.recordSent(chosen.upstream);
+    m_state.upstreams.recordSent(chosen.upstream, now);
     if (upstream->requestLimit)
         m_state.upstreams.takeLimitShare(chosen.upstream, limitShareFor(m_state, *upstream), now);
     if (chosen.isCold)
--- a/src/flamingoroute/serving/serving_state.hpp
+++ b/src/flamingoroute/serving/serving_state.hpp
@@ -2,6 +2,7 @@
 #define FLAMINGOROUTE_SERVING_SERVING_STATE_HPP
 
 #include "flamingoroute/fleet/fleet_members.hpp"
+#include "flamingoroute/fleet/load_changes.hpp"
 #include "flamingoroute/fleet/rate_split.hpp"
 #include "flamingoroute/fleet/retry_split.hpp"
 #include "flamingoroute/moves/version_gate.hpp"
@@ -63,6 +64,7 @@
     retry_split retries;
     cold_gate cold;
     shift_limiter shifts;
+    load_changes measuredLoads; ///< of upstreams, from answers to this instance, to be reported to relays
     quarantine_table quarantine;
     service_times times;
     recent_objects objects;
--- a/tests/unit/placement/upstream_directory_test.cpp
+++ b/tests/unit/placement/upstream_directory_test.cpp
@@ -1,5 +1,7 @@
 #include "flamingoroute/placement/upstream_directory.hpp"
 
+#include "flamingoroute/steering/internal/hash64.hpp"
+
 #include <gtest/gtest.h>
 
 namespace flamingoroute {
@@ -9,6 +11,7 @@
 const upstream_id name("u-1");
 const failure_domain_id domain("centro-a");
 constexpr milliseconds coldTime { 3000 };
+const auto shortHash = static_cast<std::uint32_t>(hash64(name.value()));
 
 monotonic_time at(int ms) { return monotonic_time(milliseconds(100'000 + ms)); }
 
@@ -73,7 +76,7 @@
 TEST(upstream_directory, resets_the_measured_state_when_an_upstream_restarts_under_the_same_name)
 {
     auto directory = directoryWithOne();
-    directory.recordSent(name);
+    directory.recordSent(name, at(0));
     directory.recordResult(name, reportOf(attempt_verdict::misdirected), coldTime, at(5));
     EXPECT_FALSE(directory.isEligible(*directory.find(name)));
     directory.apply(entryOf(1), at(10));
@@ -85,7 +88,7 @@
 TEST(upstream_directory, backs_off_from_an_unreachable_upstream_and_counts_it_as_cold_afterwards)
 {
     auto directory = directoryWithOne();
-    directory.recordSent(name);
+    directory.recordSent(name, at(0));
     directory.recordResult(name, reportOf(attempt_verdict::unreachable), coldTime, at(10));
     const auto backOffUntil = directory.find(name)->backOffUntil;
     EXPECT_GT(backOffUntil, at(10));
@@ -95,7 +98,7 @@
 TEST(upstream_directory, does_not_back_off_after_one_broken_connection)
 {
     auto directory = directoryWithOne();
-    directory.recordSent(name);
+    directory.recordSent(name, at(0));
     directory.recordResult(name, reportOf(attempt_verdict::broken), coldTime, at(10));
     EXPECT_LE(directory.find(name)->backOffUntil, at(10));
 }
@@ -103,8 +106,8 @@
 TEST(upstream_directory, adds_other_instances_requests_to_its_own_and_decays_an_old_load_report)
 {
     auto directory = directoryWithOne();
-    directory.recordSent(name);
-    directory.recordSent(name);
+    directory.recordSent(name, at(0));
+    directory.recordSent(name, at(0));
     auto report = reportOf(attempt_verdict::served);
     report.load = reported_load { 4, 2, 6 };
     directory.recordResult(name, report, coldTime, at(10));
@@ -118,7 +121,7 @@
     auto report = reportOf(attempt_verdict::timed_out);
     report.timeRatio = 10;
     for (int i = 0; i < 5; ++i) {
-        directory.recordSent(name);
+        directory.recordSent(name, at(0));
         directory.recordResult(name, report, coldTime, at(10 + i));
     }
     EXPECT_GT(currentSlowness(*directory.find(name), at(20)), 5);
@@ -186,6 +189,32 @@
     EXPECT_GT(currentFailureShare(*faulty.find(name), at(10)), 0);
 }
 
+TEST(upstream_directory, takes_the_load_that_another_instance_was_told_without_the_own_part_of_it)
+{
+    auto directory = directoryWithOne();
+    directory.recordSent(name, at(0));
+    directory.recordSent(name, at(300));
+    directory.recordFleetLoad(shortHash, 5, at(200));
+    EXPECT_DOUBLE_EQ(directory.find(name)->othersLoad, 4);
+    EXPECT_DOUBLE_EQ(estimatedLoad(*directory.find(name), at(200)), 6);
+    EXPECT_LT(estimatedLoad(*directory.find(name), at(2200)), 2.2);
+}
+
+TEST(upstream_directory, ignores_a_load_of_another_instance_that_is_old_doubled_or_of_an_unknown_upstream)
+{
+    auto directory = directoryWithOne();
+    auto report = reportOf(attempt_verdict::served);
+    report.load = reported_load { 2, 0, 6 };
+    directory.recordResult(name, report, coldTime, at(100));
+    directory.recordFleetLoad(shortHash, 9, at(50));
+    directory.recordFleetLoad(shortHash, 9, at(100));
+    directory.recordFleetLoad(shortHash + 1, 9, at(200));
+    EXPECT_DOUBLE_EQ(directory.find(name)->othersLoad, 2);
+    directory.remove(upstream_id(name), at(300));
+    directory.recordFleetLoad(shortHash, 9, at(400));
+    EXPECT_EQ(directory.find(name), nullptr);
+}
+
 TEST(upstream_directory, lists_the_upstreams_of_a_service_without_removed_ones)
 {
     auto directory = directoryWithOne();
