Count the bytes of relays after a restart of all, a change of all upstreams and with loads

The byte test covered 30 and 300 instances in calm.

Reports as differences, numbers for customers' names and readiness as differences are not begun.

--- a/tests/support/fleet/relayed_fleet.cpp
+++ b/tests/support/fleet/relayed_fleet.cpp
@@ -15,15 +15,26 @@
     result.instance = instance_id("entry-" + std::to_string(100 + number));
     result.region = region_id("region-" + std::to_string(number % 3));
     result.failureDomain = failure_domain_id("domain-" + std::to_string(number % 6));
-    result.callerAddress = { "10.0.0." + std::to_string(number + 1), 80 };
+    constexpr std::size_t perNetwork = 250;
+    const std::string address
+        = "10.0." + std::to_string(number / perNetwork) + "." + std::to_string(number % perNetwork + 1);
+    result.callerAddress = { address, 80 };
     result.linkMbps = 10;
-    result.entryAddress = { "10.0.0." + std::to_string(number + 1), 7560 };
+    result.entryAddress = { address, 7560 };
     return result;
 }
 
 constexpr int reportMs = 500;
 constexpr int digestMs = 1000;
 constexpr milliseconds minDigestGap { 300 };
+constexpr std::uint8_t digestKind = 0;
+constexpr std::uint8_t batchKind = 1;
+
+upstream_load loadNumber(std::uint32_t number)
+{
+    constexpr std::uint32_t spread = 2'654'435'761; // hashes use all 32 bits
+    return { number * spread, static_cast<std::uint16_t>(number % 24), static_cast<std::uint16_t>(number % 1000) };
+}
 
 } // namespace
 
@@ -75,6 +86,20 @@
     m_demand.assign(m_nodes.size(), demand);
 }
 
+void relayed_fleet::setLoads(std::size_t perReport, std::size_t perDigest)
+{
+    m_loadsPerReport = perReport;
+    m_loadsPerDigest = perDigest;
+}
+
+void relayed_fleet::sendBatches(const std::string& body)
+{
+    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+        if (m_isUp[i] && m_nodes[i]->isRelay(m_now) && m_nodes[i]->isFirstRelay(m_now))
+            m_forwarders[i]->sendToRegion(batchKind, body, m_now);
+    }
+}
+
 void relayed_fleet::simulate(int ms)
 {
     for (int passed = 0; passed < ms; passed += stepMs) {
@@ -135,8 +160,12 @@
     own.hasFullWindow = true;
     if (which < m_demand.size())
         own.demand = m_demand[which];
+    for (std::size_t i = 0; i < m_loadsPerReport; ++i)
+        own.loads.push_back(loadNumber(++m_loadCount));
     m_nodes[which]->recordLocalReport(own, m_now);
-    for (const auto& relay : m_nodes[which]->relays(m_now))
+    const auto relays = m_nodes[which]->relays(m_now);
+    m_traffic[which].reportBytes += relays.size() * packMessage(own).size();
+    for (const auto& relay : relays)
         deliver(which, relay.entryAddress, packMessage(own).size(),
             [&](fleet_members& node) { node.recordReport(own, m_now); });
 }
@@ -164,21 +193,28 @@
             digest.others.push_back(sum);
     }
     node.recordDigest(digest, m_now);
-    m_forwarders[which]->sendToRegion(0, packMessage(digest), m_now);
+    for (std::size_t i = 0; digest.hasSums && i < m_loadsPerDigest; ++i)
+        digest.loads.push_back(loadNumber(++m_loadCount));
+    m_forwarders[which]->sendToRegion(digestKind, packMessage(digest), m_now);
 }
 
 std::unique_ptr<message_forwarder> relayed_fleet::makeForwarder(std::size_t which)
 {
-    const auto deliverDigest = [this, which](const endpoint& to, std::size_t bytes, const std::string& digest) {
-        deliver(which, to, bytes,
-            [&](fleet_members& node) { node.recordDigest(*unpackMessage<region_digest>(digest), m_now); });
-    };
+    const auto deliverBody
+        = [this, which](const endpoint& to, std::uint8_t kind, std::size_t bytes, const std::string& body) {
+              m_traffic[which].batchBytes += kind == batchKind ? bytes : 0;
+              deliver(which, to, bytes, [&](fleet_members& node) {
+                  if (kind == digestKind)
+                      node.recordDigest(*unpackMessage<region_digest>(body), m_now);
+              });
+          };
     return std::make_unique<message_forwarder>(
         *m_nodes[which],
-        [deliverDigest](
-            const endpoint& to, std::uint8_t, const std::string& body) { deliverDigest(to, body.size(), body); },
-        [this, which, deliverDigest](const endpoint& to, const forwarded_message& message) {
-            deliverDigest(to, packMessage(message).size(), message.body);
+        [deliverBody](const endpoint& to, std::uint8_t kind, const std::string& body) {
+            deliverBody(to, kind, body.size(), body);
+        },
+        [this, which, deliverBody](const endpoint& to, const forwarded_message& message) {
+            deliverBody(to, message.kind, packMessage(message).size(), message.body);
             const auto receiver = m_numbers.at(to);
             if (m_isUp[receiver])
                 m_forwarders[receiver]->forward(message, m_where[which].instance, m_now);
--- a/tests/support/fleet/relayed_fleet.hpp
+++ b/tests/support/fleet/relayed_fleet.hpp
@@ -29,6 +29,13 @@
     /// Sets that each instance reports the same demand for each of @p count customers.
     void setCustomers(std::size_t count);
 
+    /// Sets that each report contains the loads of @p perReport upstreams, and each digest of the first relay up to
+    /// @p perDigest.
+    void setLoads(std::size_t perReport, std::size_t perDigest);
+
+    /// Sends @p body from the first relay of each region to all instances of the region.
+    void sendBatches(const std::string& body);
+
     /// Lets time pass in steps of stepMs: a report of each instance every 500 ms, a digest of each relay every second.
     void simulate(int ms);
 
@@ -47,6 +54,8 @@
     struct instance_traffic {
         std::size_t bytes = 0;
         std::size_t bytesToOtherDomains = 0; ///< part of them
+        std::size_t reportBytes = 0; ///< part of them
+        std::size_t batchBytes = 0; ///< part of them
     };
     const std::vector<instance_traffic>& traffic() const { return m_traffic; }
 
@@ -62,6 +71,9 @@
     std::vector<std::unique_ptr<message_forwarder>> m_forwarders;
     std::vector<bool> m_isUp;
     std::vector<std::vector<customer_demand>> m_demand;
+    std::size_t m_loadsPerReport = 0;
+    std::size_t m_loadsPerDigest = 0;
+    std::uint32_t m_loadCount = 0;
     std::map<endpoint, std::size_t> m_numbers;
     std::vector<instance_traffic> m_traffic;
     monotonic_time m_now { seconds(100) };
--- a/tests/unit/fleet/message_forwarder_test.cpp
+++ b/tests/unit/fleet/message_forwarder_test.cpp
@@ -91,6 +91,36 @@
     std::size_t m_toOtherDomains = 0;
 };
 
+/// Bytes a second that an instance sends.
+struct byte_rates {
+    double busiest = 0;
+    double middle = 0;
+};
+
+using instance_traffic = relayed_fleet::instance_traffic;
+
+byte_rates ratesOf(const relayed_fleet& fleet, double duration, std::size_t (*bytesOf)(const instance_traffic&))
+{
+    std::vector<double> rates;
+    for (const auto& traffic : fleet.traffic())
+        rates.push_back(static_cast<double>(bytesOf(traffic)) / duration);
+    std::sort(rates.begin(), rates.end());
+    return { rates.back(), rates[rates.size() / 2] };
+}
+
+std::string inKilobytes(const byte_rates& rates)
+{
+    constexpr double kilobyte = 1000;
+    return std::to_string(rates.busiest / kilobyte) + " " + std::to_string(rates.middle / kilobyte);
+}
+
+/// Objects of upstreams, as the store describes them.
+std::string batchOf(std::size_t upstreams)
+{
+    constexpr std::size_t bytesOfEntry = 200;
+    return std::string(upstreams * bytesOfEntry, 'x');
+}
+
 /// Bytes a second that the busiest instance sends.
 double busiestRate(std::size_t instances)
 {
@@ -172,6 +202,32 @@
     EXPECT_LE(std::log(large / small) / std::log(10.0), 0.5);
 }
 
+// With loads of upstreams in reports and digests, in the first seconds of a fleet and when each upstream's entry
+// changes.
+TEST(message_forwarder, keeps_bytes_small_after_a_restart_of_all_and_a_change_of_all_upstreams)
+{
+    constexpr int firstSeconds = 2;
+    constexpr std::size_t upstreamsPerInstance = 4;
+    std::map<std::size_t, double> busiest;
+    for (const std::size_t size : { 30U, 100U, 300U, 1000U }) {
+        relayed_fleet fleet(size);
+        fleet.setCustomers(190);
+        fleet.setLoads(24, 128);
+        fleet.simulate(firstSeconds * 1000);
+        const auto all = ratesOf(fleet, firstSeconds, [](const auto& traffic) { return traffic.bytes; });
+        const auto reports = ratesOf(fleet, firstSeconds, [](const auto& traffic) { return traffic.reportBytes; });
+        busiest[size] = all.busiest;
+        const auto body = batchOf(upstreamsPerInstance * size);
+        fleet.sendBatches(body);
+        const auto batch = ratesOf(fleet, 1, [](const auto& traffic) { return traffic.batchBytes; });
+        EXPECT_LE(batch.busiest, 1.01 * (maxForwardCopies + 3) * static_cast<double>(body.size())) << size;
+        RecordProperty("kB_" + std::to_string(size),
+            "all " + inKilobytes(all) + " reports " + inKilobytes(reports) + " batch " + inKilobytes(batch));
+    }
+    EXPECT_LE(busiest[300], 400'000);
+    EXPECT_LE(std::log(busiest[1000] / busiest[30]) / std::log(1000.0 / 30), 0.5);
+}
+
 TEST(digest_cache, ignores_a_digest_that_was_forwarded_late)
 {
     digest_cache cache(region_id("region"));
