--- a/src/flamingoroute/fleet/region_digest.hpp
+++ b/src/flamingoroute/fleet/region_digest.hpp
@@ -4,6 +4,7 @@
 #include "flamingoroute/fleet/kind_position.hpp"
 #include "flamingoroute/fleet/member_readiness.hpp"
 #include "flamingoroute/fleet/region_sum.hpp"
+#include "flamingoroute/fleet/upstream_load.hpp"
 
 #include <msgpack.hpp>
 
@@ -27,10 +28,11 @@
     std::vector<kind_position> positions;
     std::uint64_t incarnation = 0; ///< of the sender's process
     std::uint64_t number = 0; ///< increases with each digest of the process
+    std::vector<upstream_load> loads; ///< that instances of the region have reported since the last digest
 
     bool operator==(const region_digest&) const = default;
     MSGPACK_DEFINE(
-        sender, senderAddress, hasSums, sum, members, others, isStoreConnected, positions, incarnation, number)
+        sender, senderAddress, hasSums, sum, members, others, isStoreConnected, positions, incarnation, number, loads)
 };
 
 } // namespace flamingoroute
--- a/src/flamingoroute/placement/upstream_directory.cpp
+++ b/src/flamingoroute/placement/upstream_directory.cpp
@@ -25,6 +25,9 @@
 constexpr microseconds rememberRemovedFor { 60'000'000 };
 constexpr double minSlowness = 0.5;
 constexpr double maxSlowness = 20;
+/// Upstreams that report how long work takes report another value many times a second.
+constexpr microseconds workTimeHalfLife { 150'000 };
+constexpr double usualWorkTimePercent = 100;
 
 microseconds backOffAfter(int failures)
 {
@@ -51,10 +54,33 @@
     return std::exp2(-age / static_cast<double>(halfLife.count()));
 }
 
+double workTimeFactorOf(const std::optional<reported_load>& load)
+{
+    if (!load || !load->workTimePercent)
+        return 1;
+    return std::clamp(*load->workTimePercent / usualWorkTimePercent, 1.0, maxSlowness);
+}
+
+/// @return the time ratio without the part that slow work explains. The upstream reports the work time at the end of
+/// the
+///         answer only, so a slow report does not turn a usual time into a fast one.
+double unexplainedTimeRatio(const attempt_report& report)
+{
+    const double factor = workTimeFactorOf(report.load);
+    return report.timeRatio <= 1 ? report.timeRatio : std::max(1.0, report.timeRatio / factor);
+}
+
+double decayedSlowness(const upstream_state& upstream, monotonic_time now)
+{
+    return 1 + (upstream.slowness - 1) * decayFactor(upstream.healthUpdatedAt, now, healthHalfLife);
+}
+
 void updateLoad(upstream_state& upstream, const reported_load& load, monotonic_time now)
 {
     upstream.othersLoad = std::max(0, load.running + load.waiting - upstream.inFlight);
     upstream.loadReportedAt = now;
+    upstream.workTimeFactor = workTimeFactorOf(load);
+    upstream.workTimeReportedAt = now;
 }
 
 void updateLimit(upstream_state& upstream, const attempt_report& report)
@@ -71,10 +97,10 @@
     const double failed = isFailure(report.verdict) || isShedWithFreeSlots(report) ? 1 : 0;
     upstream.failureShare = currentFailureShare(upstream, now);
     upstream.failureShare += newestWeight * (failed - upstream.failureShare);
-    upstream.slowness = currentSlowness(upstream, now);
+    upstream.slowness = decayedSlowness(upstream, now);
     upstream.healthUpdatedAt = now;
     if (report.timeRatio > 0) {
-        const double ratio = std::clamp(report.timeRatio, minSlowness, maxSlowness);
+        const double ratio = std::clamp(unexplainedTimeRatio(report), minSlowness, maxSlowness);
         upstream.slowness += newestWeight * (ratio - upstream.slowness);
     }
 }
@@ -93,7 +119,9 @@
 
 double currentSlowness(const upstream_state& upstream, monotonic_time now)
 {
-    return 1 + (upstream.slowness - 1) * decayFactor(upstream.healthUpdatedAt, now, healthHalfLife);
+    const double workTime
+        = 1 + (upstream.workTimeFactor - 1) * decayFactor(upstream.workTimeReportedAt, now, workTimeHalfLife);
+    return decayedSlowness(upstream, now) * workTime;
 }
 
 double currentFailureShare(const upstream_state& upstream, monotonic_time now)
@@ -125,6 +153,7 @@
     }
     known.registration = entry;
     known.nameHash = hash64(entry.name.value());
+    m_byShortHash[static_cast<std::uint32_t>(known.nameHash)] = &known;
     known.isLeaving = wasLeaving || entry.isDraining;
     const auto region = m_regions.find(entry.failureDomain);
     known.region = region == m_regions.end() ? region_id() : region->second;
@@ -168,6 +197,9 @@
     std::erase_if(m_removed, [&](const auto& entry) { return now - entry.second.removedAt > rememberRemovedFor; });
     m_removed[name] = { known->second.registration.startedAtMs, known->second.isLeaving, now };
     removeFromService(known->second);
+    const auto byHash = m_byShortHash.find(static_cast<std::uint32_t>(known->second.nameHash));
+    if (byHash != m_byShortHash.end() && byHash->second == &known->second)
+        m_byShortHash.erase(byHash);
     m_upstreams.erase(known);
 }
 
@@ -182,11 +214,26 @@
     m_evacuated = domains;
 }
 
-void upstream_directory::recordSent(const upstream_id& name)
+void upstream_directory::recordSent(const upstream_id& name, monotonic_time now)
 {
     const auto known = m_upstreams.find(name);
-    if (known != m_upstreams.end())
-        ++known->second.inFlight;
+    if (known == m_upstreams.end())
+        return;
+    auto& upstream = known->second;
+    ++upstream.inFlight;
+    upstream.ownRequests.record(upstream.inFlight, now);
+}
+
+void upstream_directory::recordFleetLoad(std::uint32_t nameHash, int requests, monotonic_time measuredAt)
+{
+    const auto known = m_byShortHash.find(nameHash);
+    if (known == m_byShortHash.end())
+        return;
+    auto& upstream = *known->second;
+    if (measuredAt <= upstream.loadReportedAt)
+        return;
+    upstream.othersLoad = std::max(0, requests - upstream.ownRequests.at(measuredAt));
+    upstream.loadReportedAt = measuredAt;
 }
 
 void upstream_directory::takeLimitShare(const upstream_id& name, const limit_share& share, monotonic_time now)
@@ -207,6 +254,7 @@
         return;
     auto& upstream = known->second;
     upstream.inFlight = std::max(0, upstream.inFlight - 1);
+    upstream.ownRequests.record(upstream.inFlight, now);
     if (report.verdict == attempt_verdict::abandoned)
         return;
     updateHealth(upstream, report, now);
--- a/src/flamingoroute/placement/upstream_state.hpp
+++ b/src/flamingoroute/placement/upstream_state.hpp
@@ -3,6 +3,7 @@
 
 #include "flamingoroute/model/monotonic_time.hpp"
 #include "flamingoroute/model/registered_upstream.hpp"
+#include "flamingoroute/placement/in_flight_history.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -15,13 +16,18 @@
     std::uint64_t nameHash = 0; ///< hash64 of the registered name
     region_id region;
     int inFlight = 0; ///< requests of this instance without a result yet
+    in_flight_history ownRequests; ///< inFlight at earlier times
     double othersLoad = 0; ///< requests of other instances, running or waiting, as of loadReportedAt
     monotonic_time loadReportedAt;
+    double workTimeFactor
+        = 1; ///< by which the upstream said that work takes longer, as of workTimeReportedAt; at least 1
+    monotonic_time workTimeReportedAt;
     monotonic_time coldUntil;
     monotonic_time backOffUntil; ///< set after failures; other upstreams are preferred until then
     int consecutiveFailures = 0; ///< consecutive attempts without a complete answer
     double failureShare = 0; ///< failed attempts as of healthUpdatedAt, weighted towards the newest
-    double slowness = 1; ///< time per request divided by the expected time, as of healthUpdatedAt
+    double slowness = 1; ///< time per request divided by the expected time, as of healthUpdatedAt, without slow work
+                         ///< that the upstream itself reported
     monotonic_time healthUpdatedAt;
     monotonic_time lastAnswerAt;
     std::optional<double> requestLimit; ///< requests per second from all instances, as named in the last answer
