Keep the weights of upstreams while some may not be used for a short time

Cause: the plan of the regions was computed for each request over the upstreams that it may go to at the moment, so a back-off, a cold upstream, a tried one or a flapping entry changed the weights of all others and moved their objects.

The weights now come from a table for each service that is shared by requests and rebuilt when the list or an evacuation changes. Upstreams that may not be used now are passed over in the object's order. If all are out, the former choice over what is left applies.

Ruled out: two levels (region, then upstream), which move an object twice when a region's share changes with its list.

--- a/src/flamingoroute/placement/placement.cpp
+++ b/src/flamingoroute/placement/placement.cpp
@@ -1,9 +1,8 @@
 #include "flamingoroute/placement/placement.hpp"
 
-#include "flamingoroute/steering/internal/hash64.hpp"
+#include "flamingoroute/placement/rendezvous_score.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <numeric>
 
 namespace flamingoroute {
@@ -12,18 +11,8 @@
 
 /// Cost of a failed attempt in multiples of the objective: the answer is lost, or one more attempt is needed.
 constexpr double failureCost = 2.0;
-constexpr double minWeight = 1e-6;
 constexpr double minSlowness = 0.1;
 
-/// @return the exponential variate of weighted rendezvous hashing; the lowest one is preferred
-double rendezvousScore(std::uint64_t objectHash, const placement_candidate& candidate)
-{
-    constexpr double scale = 1.0 / 9007199254740992.0; // 2^-53
-    const std::uint64_t mixed = mix64(objectHash ^ candidate.nameHash);
-    const double uniform = (static_cast<double>(mixed >> 11U) + 0.5) * scale;
-    return -std::log(uniform) / std::max(minWeight, candidate.weight);
-}
-
 struct cost_estimate {
     microseconds wait { 0 };
     microseconds expected { 0 };
@@ -57,7 +46,7 @@
     std::vector<double> scores;
     scores.reserve(candidates.size());
     for (const auto& candidate : candidates)
-        scores.push_back(rendezvousScore(objectHash, candidate));
+        scores.push_back(rendezvousScore(objectHash, candidate.nameHash, candidate.weight));
     std::vector<std::size_t> order(candidates.size());
     std::iota(order.begin(), order.end(), 0);
     const auto resultEnd = order.begin() + static_cast<std::ptrdiff_t>(std::min(count, order.size()));
--- a/src/flamingoroute/placement/upstream_directory.cpp
+++ b/src/flamingoroute/placement/upstream_directory.cpp
@@ -79,6 +79,13 @@
     }
 }
 
+bool changesPlacement(const upstream_state& known, const registered_upstream& entry, bool isLeaving)
+{
+    const auto& before = known.registration;
+    return known.isLeaving != isLeaving || before.failureDomain != entry.failureDomain
+        || before.version != entry.version || before.slots != entry.slots;
+}
+
 } // namespace
 
 bool acceptsNow(const upstream_state& upstream, monotonic_time now)
@@ -119,6 +126,8 @@
     const bool changesService = isNewProcess || known.registration.service != entry.service;
     if (changesService)
         removeFromService(known);
+    if (changesService || changesPlacement(known, entry, wasLeaving || entry.isDraining))
+        ++m_revision;
     if (isNewProcess) {
         known = upstream_state {};
         known.lastAnswerAt = now;
@@ -169,6 +178,7 @@
     m_removed[name] = { known->second.registration.startedAtMs, known->second.isLeaving, now };
     removeFromService(known->second);
     m_upstreams.erase(known);
+    ++m_revision;
 }
 
 void upstream_directory::setEvacuated(
@@ -179,6 +189,7 @@
         if (m_evacuated.contains(domain) && !domains.contains(domain))
             upstream.coldUntil = std::max(upstream.coldUntil, now + microseconds(coldTime));
     }
+    m_revision += m_evacuated == domains ? 0 : 1;
     m_evacuated = domains;
 }
 
@@ -217,7 +228,8 @@
     updateLimit(upstream, report);
     if (report.pause)
         upstream.pausedUntil = std::max<monotonic_time>(upstream.pausedUntil, now + *report.pause);
-    upstream.isMisdirected = upstream.isMisdirected || report.verdict == attempt_verdict::misdirected;
+    if (report.verdict == attempt_verdict::misdirected && !std::exchange(upstream.isMisdirected, true))
+        ++m_revision;
     if (report.verdict == attempt_verdict::timed_out)
         return;
     const bool hasNoAnswer
@@ -240,7 +252,9 @@
     const auto known = m_upstreams.find(name);
     if (known == m_upstreams.end() || known->second.registration.startedAtMs != startedAtMs)
         return false;
-    return !std::exchange(known->second.isLeaving, true);
+    const bool isFirst = !std::exchange(known->second.isLeaving, true);
+    m_revision += isFirst ? 1 : 0;
+    return isFirst;
 }
 
 const upstream_state* upstream_directory::find(const upstream_id& name) const
--- a/src/flamingoroute/placement/upstream_directory.hpp
+++ b/src/flamingoroute/placement/upstream_directory.hpp
@@ -56,6 +56,9 @@
 
     const std::map<upstream_id, upstream_state>& all() const { return m_upstreams; }
 
+    /// @return a number that changes with the list of eligible upstreams, their regions, versions and slots
+    std::uint64_t revision() const { return m_revision; }
+
 private:
     /// The last known start of an upstream, kept for some time after its entry was removed.
     struct upstream_start {
@@ -73,6 +76,7 @@
     std::map<upstream_id, upstream_start> m_removed;
     std::map<service_id, std::vector<const upstream_state*>> m_byService; ///< entries of m_upstreams, sorted by name
     std::set<failure_domain_id> m_evacuated;
+    std::uint64_t m_revision = 1;
 };
 
 /// @return whether the upstream accepts a request of this instance now, by the limit that it named and by the time for
--- a/src/flamingoroute/serving/serving_state.hpp
+++ b/src/flamingoroute/serving/serving_state.hpp
@@ -12,6 +12,7 @@
 #include "flamingoroute/requests/quarantine_table.hpp"
 #include "flamingoroute/routing/routing_table.hpp"
 #include "flamingoroute/serving/path_delays.hpp"
+#include "flamingoroute/serving/preference_tables.hpp"
 #include "flamingoroute/serving/recent_objects.hpp"
 #include "flamingoroute/serving/service_times.hpp"
 #include "flamingoroute/serving/serving_counters.hpp"
@@ -56,6 +57,7 @@
     header_names headers;
     routing_table_ptr table; ///< null until a configuration is active
     upstream_directory upstreams;
+    preference_tables preferences;
     version_gate versions;
     fleet_members members;
     instance_group selfOnly; ///< this instance alone; its revision differs from those of the regions
--- a/src/flamingoroute/serving/upstream_selector.hpp
+++ b/src/flamingoroute/serving/upstream_selector.hpp
@@ -3,6 +3,7 @@
 
 #include "flamingoroute/model/ids.hpp"
 #include "flamingoroute/model/monotonic_time.hpp"
+#include "flamingoroute/placement/preference_table.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -13,8 +14,6 @@
 
 struct placement_candidate;
 struct placement_request;
-struct preferred_upstream;
-struct region_plan;
 struct routing_rule;
 struct serving_state;
 struct upstream_state;
@@ -57,16 +56,34 @@
     selection select(const selection_query& query, monotonic_time now) const;
 
 private:
+    /// What the bound on the change of a region's share asks of a request.
+    enum class shift_bound {
+        none,
+        stay, ///< in the local region
+        leave, ///< for an upstream of another region that has the object cached and a free slot
+    };
+
     bool isAllowed(const upstream_state& upstream, const selection_query& query, const version_filter& versions,
         monotonic_time now) const;
     bool passesColdGate(const upstream_state& upstream, const selection_query& query, monotonic_time now) const;
     std::vector<const upstream_state*> allowedUpstreams(const selection_query& query, monotonic_time now) const;
-    void limitShift(std::vector<const upstream_state*>& upstreams, const region_plan& plan,
-        const selection_query& query, monotonic_time now) const;
+    shift_bound shiftBound(double plannedShare, monotonic_time now) const;
+    bool passesShiftBound(
+        const weighted_upstream& candidate, shift_bound bound, const selection_query& query, monotonic_time now) const;
+
+    /// @return whether a request may be sent to an upstream of its table now, unless nothing else is left
+    bool isUsable(const upstream_state& upstream, const selection_query& query, monotonic_time now) const;
+
+    /// @return the first usable upstreams in the object's order; those within the bound if there are any
+    std::vector<weighted_upstream> firstWithin(const preference_table& table, shift_bound bound,
+        const preference_table::usable_test& isUsable, const selection_query& query, monotonic_time now) const;
+    std::vector<weighted_upstream> usableUpstreams(const selection_query& query, monotonic_time now) const;
+
+    /// @return the first of @p upstreams, which are used because no other can be
+    std::vector<weighted_upstream> lastResorts(
+        const std::vector<const upstream_state*>& upstreams, const selection_query& query, monotonic_time now) const;
     placement_candidate candidateFor(
         const upstream_state& upstream, double weight, const selection_query& query, monotonic_time now) const;
-    static std::vector<preferred_upstream> preferredUpstreams(
-        const std::vector<const upstream_state*>& upstreams, const region_plan& plan, std::uint64_t objectHash);
 
     serving_state& m_state;
 };
