--- a/src/flamingoroute/placement/upstream_directory.hpp
+++ b/src/flamingoroute/placement/upstream_directory.hpp
@@ -63,6 +63,9 @@
 
     const std::map<upstream_id, upstream_state>& all() const { return m_upstreams; }
 
+    /// @return a number that changes with the list of eligible upstreams, their regions, versions and slots
+    std::uint64_t revision() const { return m_revision; }
+
 private:
     /// The last known start of an upstream, kept for some time after its entry was removed.
     struct upstream_start {
@@ -81,6 +84,7 @@
     std::map<service_id, std::vector<const upstream_state*>> m_byService; ///< entries of m_upstreams, sorted by name
     std::unordered_map<std::uint32_t, upstream_state*> m_byShortHash; ///< entries of m_upstreams
     std::set<failure_domain_id> m_evacuated;
+    std::uint64_t m_revision = 1;
 };
 
 /// @return whether the upstream accepts a request of this instance now, by the limit that it named and by the time for
