--- a/src/flamingoroute/duties/usage_counter.cpp
+++ b/src/flamingoroute/duties/usage_counter.cpp
@@ -1,5 +1,7 @@
 #include "flamingoroute/duties/usage_counter.hpp"
 
+#include <iterator>
+
 namespace flamingoroute {
 
 namespace {
@@ -18,9 +20,14 @@
 {
     if (!isEnabled() || !m_clock.isSet())
         return;
-    ++m_counts[windowAt(startsAt)][customer.value()];
-    while (m_counts.size() > maxWindows)
-        m_counts.erase(m_counts.begin());
+    const auto window = windowAt(startsAt);
+    ++m_counts[window][customer.value()];
+    if (m_counts.size() <= maxWindows)
+        return;
+    // After a step of the clock, the windows kept may lie in the future.
+    const auto oldest = m_counts.begin();
+    const auto newest = std::prev(m_counts.end());
+    m_counts.erase(newest->first - window > window - oldest->first ? newest : oldest);
 }
 
 void usage_counter::takeBack(const customer_id& customer, monotonic_time startsAt)
--- a/src/flamingoroute/runtime/usage_duty.cpp
+++ b/src/flamingoroute/runtime/usage_duty.cpp
@@ -205,10 +205,22 @@
         return;
     }
     const auto current = m_state.usage.windowAt(monotonicNow());
-    if (message.kind == message_kind::usage_sum)
-        m_collector.recordRegion(*counts, current);
-    else
+    if (message.kind != message_kind::usage_sum) {
         m_collector.recordInstance(*counts, current);
+        return;
+    }
+    m_collector.recordRegion(*counts, current);
+    forwardSum(message, *counts);
+}
+
+/// Passes on what came from another region: only the first relay of a region is known there, and the holder may be the
+/// other one.
+void usage_duty::forwardSum(const envelope& message, const usage_counts& sum)
+{
+    if (message.from.value() != sum.instance)
+        return;
+    for (const auto& relay : m_state.members.relays(monotonicNow()))
+        m_send(relay.entryAddress, message_kind::usage_sum, message.body);
 }
 
 void usage_duty::addMetrics(metrics_text& text) const
--- a/src/flamingoroute/runtime/usage_duty.hpp
+++ b/src/flamingoroute/runtime/usage_duty.hpp
@@ -51,6 +51,7 @@
     void observeClock(monotonic_time now);
     void sendDueCounts(window_index window, monotonic_time now);
     void sendCounts(window_index window, monotonic_time now);
+    void forwardSum(const envelope& message, const usage_counts& sum);
     void sendSum(window_index window, monotonic_time now);
 
     struct sent_rounds {
--- a/src/flamingoroute/store/lease_machine.cpp
+++ b/src/flamingoroute/store/lease_machine.cpp
@@ -66,7 +66,7 @@
     m_seen = *record;
     const auto unknownOutcomeSince = m_unknownOutcomeSince;
     m_unknownOutcomeSince.reset();
-    if (unknownOutcomeSince && isLocalHolder(m_seen) && m_seen.sequence == m_sequence) {
+    if (unknownOutcomeSince && isLocalHolder(m_seen) && m_seen.sequence == m_unknownSequence) {
         recordLocalWrite(m_seen, version, *unknownOutcomeSince);
         return;
     }
@@ -92,6 +92,9 @@
     switch (answer.error().code) {
     case error_code::outcome_unknown:
         m_unknownOutcomeSince = requestedAt;
+        // The next write must differ: a store ignores one that changes nothing, and it may follow this one's late
+        // effect.
+        m_unknownSequence = m_sequence++;
         m_nextCall = now;
         break;
     case error_code::conflict:
--- a/src/flamingoroute/store/lease_machine.hpp
+++ b/src/flamingoroute/store/lease_machine.hpp
@@ -66,7 +66,8 @@
     monotonic_time m_nextCall;
     monotonic_time m_heldUntil;
     object_version m_epoch = 0;
-    std::uint64_t m_sequence = 1; ///< of the next write; incremented once a write is known to have taken effect
+    std::uint64_t m_sequence = 1; ///< of the next write; no two writes that may have taken effect share one
+    std::uint64_t m_unknownSequence = 0; ///< of the last write with unknown outcome
     std::optional<monotonic_time> m_unknownOutcomeSince; ///< when a write with unknown outcome was requested
 };
 
--- a/tests/integration/usage_reports_test.cpp
+++ b/tests/integration/usage_reports_test.cpp
@@ -96,7 +96,8 @@
     report_service service;
     std::map<std::string, std::unique_ptr<platform_node>> nodes;
     for (const std::string name : { "node-a", "node-b", "node-c" })
-        nodes[name] = std::make_unique<platform_node>(name, store.address(), "centro-a", platform_node_limits {}, usageSettings(service));
+        nodes[name] = std::make_unique<platform_node>(
+            name, store.address(), "centro-a", platform_node_limits {}, usageSettings(service));
     for (const auto& [name, each] : nodes)
         ASSERT_TRUE(each->waitUntilReady());
     std::atomic<bool> isDone = false;
--- a/tests/unit/duties/fake_object.hpp
+++ b/tests/unit/duties/fake_object.hpp
@@ -53,6 +53,9 @@
         const auto apply = [this, next, expected] {
             if (version != expected)
                 return false;
+            // As on the platform, a write that changes nothing makes no new version.
+            if (version != 0 && value == next)
+                return true;
             value = next;
             version = ++revision;
             return true;
--- a/tests/unit/store/lease_test.cpp
+++ b/tests/unit/store/lease_test.cpp
@@ -139,4 +139,23 @@
     EXPECT_TRUE(fenced.write("move", "m", *written, "step 2", 5));
 }
 
+// The store ignores a write that changes nothing, so the repeat of a write that takes effect late renewed no
+// contender's wait, and two processes held the lease.
+TEST(lease_machine, never_repeats_a_write_of_unknown_outcome_word_for_word)
+{
+    lease_settings settings;
+    settings.holder = "a";
+    lease_machine machine(settings);
+    const monotonic_time now { seconds(1000) };
+    const error unknown { error_code::outcome_unknown, "test", "", "" };
+    const error absent { error_code::not_found, "test", "", "" };
+    machine.onRead(tl::unexpected(absent), now);
+    const auto first = machine.next(now);
+    machine.onWritten(first, now, tl::unexpected(unknown), now);
+    machine.onRead(tl::unexpected(absent), now);
+    const auto second = machine.next(now);
+    ASSERT_EQ(second.kind, lease_call_kind::create);
+    EXPECT_NE(first.value, second.value);
+}
+
 } // namespace flamingoroute
