--- a/tests/unit/fleet/fleet_loads_test.cpp
+++ b/tests/unit/fleet/fleet_loads_test.cpp
@@ -6,8 +6,9 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <array>
 #include <cmath>
+#include <limits>
+#include <map>
 #include <queue>
 #include <random>
 
