Mend what the reviews of the joined parts found

Crowd: a connection whose last answer may still be on its way counts as idle only after a second; bodies of other owners are not evicted for one that its owner's limit refuses anyway; a refused HEAD request gets no body. Selection: an upstream is checked again for leaving and evacuation when it is chosen. Loads: not taken from others while a version is under order, since samples of full upstreams are no evidence and a slow version would be hidden.

--- a/src/flamingoroute/proxy/body_budget.cpp
+++ b/src/flamingoroute/proxy/body_budget.cpp
@@ -48,8 +48,11 @@
 
 bool body_budget::fits(const body_lease& lease, std::size_t bytes) const
 {
-    if (bytes > m_limit - m_used)
-        return false;
+    return bytes <= m_limit - m_used && fitsOwner(lease, bytes);
+}
+
+bool body_budget::fitsOwner(const body_lease& lease, std::size_t bytes) const
+{
     const auto found = m_owners.find(lease.m_owner);
     const auto use = found == m_owners.end() ? owner_use {} : found->second;
     const bool isOnlyBody = use.bytes == lease.m_bytes;
@@ -58,7 +61,8 @@
 
 body_lease* body_budget::findVictim(const body_lease& forLease, std::size_t bytes, monotonic_time now) const
 {
-    const bool isOwnerFull = bytes <= m_limit - m_used;
+    // Bodies of other owners are not evicted for one that its owner's limit refuses anyway.
+    const bool isOwnerFull = !fitsOwner(forLease, bytes);
     if (auto* slowest = slowestOf(forLease, isOwnerFull, now))
         return slowest;
     return isOwnerFull ? nullptr : newestOfLargestOwner(forLease, bytes);
--- a/src/flamingoroute/proxy/body_budget.hpp
+++ b/src/flamingoroute/proxy/body_budget.hpp
@@ -41,6 +41,7 @@
 
     bool grow(body_lease& lease, std::size_t bytes, monotonic_time now);
     bool fits(const body_lease& lease, std::size_t bytes) const;
+    bool fitsOwner(const body_lease& lease, std::size_t bytes) const;
     body_lease* findVictim(const body_lease& forLease, std::size_t bytes, monotonic_time now) const;
     body_lease* slowestOf(const body_lease& forLease, bool isSameOwner, monotonic_time now) const;
     body_lease* newestOfLargestOwner(const body_lease& forLease, std::size_t bytes) const;
--- a/src/flamingoroute/proxy/caller_connection.cpp
+++ b/src/flamingoroute/proxy/caller_connection.cpp
@@ -56,6 +56,7 @@
     std::shared_ptr<caller_exchange> exchange; ///< null for a request that was rejected before it was complete
     std::optional<caller_answer> answer;
     bool isLast = false; ///< the caller or a rejection ends the connection with this answer
+    bool isHead = false; ///< the answer to a HEAD request has no body
 };
 
 caller_connection::caller_connection(asio::ip::tcp::socket socket, request_handler handler, limits_query limits,
@@ -186,6 +187,7 @@
     auto entry = std::make_shared<pending_answer>();
     entry->exchange = exchange;
     entry->isLast = !exchange->request.isKeepAlive;
+    entry->isHead = exchange->request.method == "HEAD";
     m_acceptsRequests = m_acceptsRequests && !entry->isLast;
     m_pending.push_back(entry);
     exchange->answer = [weak = weak_from_this(), weakEntry = std::weak_ptr<pending_answer>(entry)](
@@ -202,10 +204,12 @@
 {
     if (m_bodies->onRejected)
         m_bodies->onRejected(answer.status);
-    stopReadingRequests();
     auto entry = std::make_shared<pending_answer>();
     entry->answer = std::move(answer);
     entry->isLast = true;
+    entry->isHead
+        = m_reader && m_reader->parser.is_header_done() && m_reader->parser.get().method() == http::verb::head;
+    stopReadingRequests();
     m_pending.push_back(entry);
     flush();
 }
@@ -239,8 +243,7 @@
         m_pending.pop_front();
         // A request that has been read in part keeps the connection open, too: its caller has not been told to stop.
         m_closesAfterWrite = entry->isLast || (m_closesWhenIdle && !hasRequestsBehind());
-        const bool includeBody = !entry->exchange || entry->exchange->request.method != "HEAD";
-        m_outgoing += serializeHttp(*entry->answer, !m_closesAfterWrite, includeBody);
+        m_outgoing += serializeHttp(*entry->answer, !m_closesAfterWrite, !entry->isHead);
     }
     if (m_closesAfterWrite)
         stopReadingRequests();
@@ -358,8 +361,11 @@
 
 bool caller_connection::isIdle() const
 {
+    // Its last answer may still be on its way, and closing the connection would discard it.
+    constexpr milliseconds minIdleTime { 1000 };
     const bool hasBody = m_reader && m_reader->parser.is_header_done();
-    return m_pending.empty() && !m_isWriting && !hasBody;
+    const bool isSettled = !isClosing() && monotonicNow() - m_lastActivity >= minIdleTime;
+    return isSettled && m_pending.empty() && !m_isWriting && !hasBody;
 }
 
 void caller_connection::close()
--- a/src/flamingoroute/proxy/caller_connection.hpp
+++ b/src/flamingoroute/proxy/caller_connection.hpp
@@ -42,7 +42,7 @@
 
     bool isClosed() const { return m_isClosed; }
 
-    /// @return whether neither a body nor an answer is on its way
+    /// @return whether for some time neither a body nor an answer has been on its way
     bool isIdle() const;
 
     /// @return when bytes last arrived or were sent
--- a/src/flamingoroute/runtime/fleet_gossip.cpp
+++ b/src/flamingoroute/runtime/fleet_gossip.cpp
@@ -297,6 +297,10 @@
 
 void fleet_gossip::takeLoads(const std::vector<upstream_load>& loads, monotonic_time now)
 {
+    // Slow answers of upstreams that look full are no evidence against a version, so that a slow version would be
+    // hidden.
+    if (m_state.versions.hasOrders())
+        return;
     for (const auto& load : loads)
         m_state.upstreams.recordFleetLoad(load.upstream, load.requests, now - milliseconds(load.ageMs));
 }
--- a/src/flamingoroute/serving/upstream_selector.cpp
+++ b/src/flamingoroute/serving/upstream_selector.cpp
@@ -105,7 +105,7 @@
 
 bool upstream_selector::isUsable(const upstream_state& upstream, const selection_query& query, monotonic_time now) const
 {
-    return upstream.backOffUntil <= now && acceptsNow(upstream, now)
+    return m_state.upstreams.isEligible(upstream) && upstream.backOffUntil <= now && acceptsNow(upstream, now)
         && !query.tried.contains(upstream.registration.name) && passesColdGate(upstream, query, now);
 }
 
