--- a/src/flamingoroute/placement/upstream_directory.cpp
+++ b/src/flamingoroute/placement/upstream_directory.cpp
@@ -61,9 +61,8 @@
     return std::clamp(*load->workTimePercent / usualWorkTimePercent, 1.0, maxSlowness);
 }
 
-/// @return the time ratio without the part that slow work explains. The upstream reports the work time at the end of
-/// the
-///         answer only, so a slow report does not turn a usual time into a fast one.
+/// @return the time ratio without the part that slow work explains; not below 1, since the work time is that of the
+///         answer's end and may have been usual before
 double unexplainedTimeRatio(const attempt_report& report)
 {
     const double factor = workTimeFactorOf(report.load);
--- a/tests/unit/duties/fake_object.hpp
+++ b/tests/unit/duties/fake_object.hpp
@@ -35,7 +35,7 @@
     void releaseHeldWrites()
     {
         isHoldingWrites = false;
-        for (const auto& held : std::exchange(heldWrites, {}))
+        for (const auto& held : std::exchange(m_heldWrites, {}))
             held();
     }
 
@@ -57,13 +57,13 @@
             if (version != 0 && value == next)
                 return true;
             value = next;
-            version = ++revision;
+            version = ++m_revision;
             return true;
         };
         if (isDown) {
             done(tl::unexpected(failure(error_code::unavailable)));
         } else if (isHoldingWrites) {
-            heldWrites.emplace_back(apply);
+            m_heldWrites.emplace_back(apply);
             done(tl::unexpected(failure(error_code::outcome_unknown)));
         } else if (!apply()) {
             done(tl::unexpected(failure(error_code::conflict)));
@@ -74,8 +74,8 @@
         }
     }
 
-    object_version revision = 100;
-    std::vector<std::function<void()>> heldWrites;
+    object_version m_revision = 100;
+    std::vector<std::function<void()>> m_heldWrites;
 };
 
 } // namespace flamingoroute
--- a/tests/unit/placement/object_moves_test.cpp
+++ b/tests/unit/placement/object_moves_test.cpp
@@ -29,7 +29,7 @@
 
 const std::array<std::string, 3> regionNames { "small", "middle", "large" };
 const std::array<int, 3> upstreamCounts { 34, 138, 166 };
-enum region_index : std::size_t { smallRegion, middleRegion, largeRegion };
+enum region_index : std::size_t { small_region, middle_region, large_region };
 const service_id service("mostrador");
 
 std::string domainOf(std::size_t region) { return regionNames.at(region) + "-a"; }
@@ -274,47 +274,47 @@
 
 TEST(object_moves_of_small_region, stay_near_the_least_when_one_upstream_is_added_and_another_removed)
 {
-    expectFewMovesOfOneUpstream(smallRegion);
+    expectFewMovesOfOneUpstream(small_region);
 }
 
 TEST(object_moves_of_small_region, stay_near_the_least_when_ten_upstreams_are_added_or_removed)
 {
-    expectFewMovesOfTenUpstreams(smallRegion);
+    expectFewMovesOfTenUpstreams(small_region);
 }
 
 TEST(object_moves_of_small_region, stay_near_the_least_when_all_its_upstreams_are_lost)
 {
-    expectFewMovesOfALostRegion(smallRegion);
+    expectFewMovesOfALostRegion(small_region);
 }
 
 TEST(object_moves_of_middle_region, stay_near_the_least_when_one_upstream_is_added_and_another_removed)
 {
-    expectFewMovesOfOneUpstream(middleRegion);
+    expectFewMovesOfOneUpstream(middle_region);
 }
 
 TEST(object_moves_of_middle_region, stay_near_the_least_when_ten_upstreams_are_added_or_removed)
 {
-    expectFewMovesOfTenUpstreams(middleRegion);
+    expectFewMovesOfTenUpstreams(middle_region);
 }
 
 TEST(object_moves_of_middle_region, stay_near_the_least_when_all_its_upstreams_are_lost)
 {
-    expectFewMovesOfALostRegion(middleRegion);
+    expectFewMovesOfALostRegion(middle_region);
 }
 
 TEST(object_moves_of_large_region, stay_near_the_least_when_one_upstream_is_added_and_another_removed)
 {
-    expectFewMovesOfOneUpstream(largeRegion);
+    expectFewMovesOfOneUpstream(large_region);
 }
 
 TEST(object_moves_of_large_region, stay_near_the_least_when_ten_upstreams_are_added_or_removed)
 {
-    expectFewMovesOfTenUpstreams(largeRegion);
+    expectFewMovesOfTenUpstreams(large_region);
 }
 
 TEST(object_moves_of_large_region, stay_near_the_least_when_all_its_upstreams_are_lost)
 {
-    expectFewMovesOfALostRegion(largeRegion);
+    expectFewMovesOfALostRegion(large_region);
 }
 
 TEST(object_moves, are_only_its_own_while_an_upstream_flaps)
