Give the duty's report a name of its own, and construct a test's header as clang accepts it

Cause: the linter stopped at an aggregate built by emplace_back, which its clang does not accept, and two types of the namespace were called usage_report (limits/, duties/). The duty's is now window_report.

--- a/src/flamingoroute/duties/usage_reporter.cpp
+++ b/src/flamingoroute/duties/usage_reporter.cpp
@@ -195,7 +195,7 @@
         m_isSending = true;
         m_nextSend = now + m_sendGap;
         ++m_tally.sent;
-        const usage_report report { m_token, window, requests };
+        const window_report report { m_token, window, requests };
         m_hooks.send(report, [this, report](const auto& answer) { onSent(report, answer); });
         return;
     }
@@ -214,7 +214,7 @@
     }
 }
 
-void usage_reporter::onSent(const usage_report& report, const tl::expected<void, error>& answer)
+void usage_reporter::onSent(const window_report& report, const tl::expected<void, error>& answer)
 {
     m_isSending = false;
     if (!answer) {
--- a/src/flamingoroute/duties/usage_reporter.hpp
+++ b/src/flamingoroute/duties/usage_reporter.hpp
@@ -3,9 +3,9 @@
 
 #include "flamingoroute/duties/usage_counts.hpp"
 #include "flamingoroute/duties/usage_ledger.hpp"
-#include "flamingoroute/duties/usage_report.hpp"
 #include "flamingoroute/duties/usage_schedule.hpp"
 #include "flamingoroute/duties/usage_tally.hpp"
+#include "flamingoroute/duties/window_report.hpp"
 #include "flamingoroute/model/monotonic_time.hpp"
 #include "flamingoroute/store/object_access.hpp"
 
@@ -25,7 +25,7 @@
         /// @return the fencing token while this instance may act; else zero
         std::function<object_version()> token;
         /// Sends a report; invokes the callback exactly once.
-        std::function<void(const usage_report&, std::function<void(tl::expected<void, error>)>)> send;
+        std::function<void(const window_report&, std::function<void(tl::expected<void, error>)>)> send;
         /// @return the counts of a window as known now
         std::function<usage_counts(window_index)> total;
         /// @return the number of instances in the fleet
@@ -64,7 +64,7 @@
 
     void sendNext(monotonic_time now);
     void dropLateReports(monotonic_time now);
-    void onSent(const usage_report& report, const tl::expected<void, error>& answer);
+    void onSent(const window_report& report, const tl::expected<void, error>& answer);
 
     usage_schedule m_schedule;
     microseconds m_sendGap;
--- a/src/flamingoroute/runtime/fleet_port.hpp
+++ b/src/flamingoroute/runtime/fleet_port.hpp
@@ -1,7 +1,7 @@
 #ifndef FLAMINGOROUTE_RUNTIME_FLEET_PORT_HPP
 #define FLAMINGOROUTE_RUNTIME_FLEET_PORT_HPP
 
-#include "flamingoroute/duties/usage_report.hpp"
+#include "flamingoroute/duties/window_report.hpp"
 #include "flamingoroute/model/error.hpp"
 #include "flamingoroute/model/fleet_configuration.hpp"
 #include "flamingoroute/model/member.hpp"
@@ -41,7 +41,7 @@
     std::function<tl::expected<lookup_request, error>(const http_request&)> readLookup;
     std::function<caller_answer(const std::vector<member>&, milliseconds)> encodeLookup;
     std::function<bool(const http_request&)> isReadinessCheck;
-    std::function<http_request(const usage_report&, const instance_id& holder)> encodeUsageReport;
+    std::function<http_request(const window_report&, const instance_id& holder)> encodeUsageReport;
 };
 
 } // namespace flamingoroute
--- a/src/flamingoroute/runtime/usage_duty.cpp
+++ b/src/flamingoroute/runtime/usage_duty.cpp
@@ -93,7 +93,7 @@
     usage_reporter::hooks hooks;
     hooks.ledger = accessTo(ledgerName);
     hooks.token = [this] { return m_lease.token(); };
-    hooks.send = [this](const usage_report& report, auto done) { sendReport(report, std::move(done)); };
+    hooks.send = [this](const window_report& report, auto done) { sendReport(report, std::move(done)); };
     hooks.total = [this](window_index window) { return m_collector.total(window); };
     hooks.fleetSize = [this] { return m_state.members.size(); };
     hooks.oldestWindow = [this] { return m_collector.oldestWindow(); };
@@ -102,7 +102,7 @@
     return hooks;
 }
 
-void usage_duty::sendReport(const usage_report& report, duty_caller::done_callback done)
+void usage_duty::sendReport(const window_report& report, duty_caller::done_callback done)
 {
     m_caller.call(
         m_port.encodeUsageReport(report, m_state.settings.instance),
--- a/src/flamingoroute/runtime/usage_duty.hpp
+++ b/src/flamingoroute/runtime/usage_duty.hpp
@@ -46,7 +46,7 @@
     bool isCandidate(monotonic_time now) const;
     object_access accessTo(const std::string& name) const;
     usage_reporter::hooks reporterHooks();
-    void sendReport(const usage_report& report, duty_caller::done_callback done);
+    void sendReport(const window_report& report, duty_caller::done_callback done);
 
     void observeClock(monotonic_time now);
     void sendDueCounts(window_index window, monotonic_time now);
--- a/tests/unit/duties/usage_reporter_test.cpp
+++ b/tests/unit/duties/usage_reporter_test.cpp
@@ -19,7 +19,7 @@
     bool isBusy = false;
     bool hasContradiction = false;
 
-    tl::expected<void, error> receive(const usage_report& report)
+    tl::expected<void, error> receive(const window_report& report)
     {
         if (isBusy)
             return tl::unexpected(error { error_code::unavailable, "fake", "", "status 429" });
@@ -43,7 +43,7 @@
         usage_reporter::hooks hooks;
         hooks.ledger = ledger.access();
         hooks.token = [this] { return token; };
-        hooks.send = [&platform](const usage_report& report, auto done) { done(platform.receive(report)); };
+        hooks.send = [&platform](const window_report& report, auto done) { done(platform.receive(report)); };
         hooks.total = [this](window_index window) {
             usage_counts counts;
             counts.window = window;
--- a/tests/unit/serving/upstream_answer_test.cpp
+++ b/tests/unit/serving/upstream_answer_test.cpp
@@ -11,7 +11,7 @@
     header_names names;
     names.load = "X-Load";
     caller_answer answer;
-    answer.headers.emplace_back("X-Load", value);
+    answer.headers.push_back({ "X-Load", value });
     return parseLoad(answer, names);
 }
 
