--- a/src/flamingoroute/runtime/usage_duty.cpp
+++ b/src/flamingoroute/runtime/usage_duty.cpp
@@ -33,7 +33,7 @@
     // With the address: another machine may get the name later.
     lease.holder = settings.instance.value() + "@" + toString(settings.peerAddress);
     lease.holderIncarnation = self;
-    lease.duration = settings.bounds.leaseTime + settings.bounds.thawSlack;
+    lease.duration = settings.bounds.leaseTime + settings.bounds.pauseSlack;
     lease.renewInterval
         = milliseconds(static_cast<std::int64_t>(renewFraction * static_cast<double>(lease.duration.count())));
     lease.retryInterval = lease.duration / 3;
--- a/src/flamingoroute/settings/fleet_bounds.hpp
+++ b/src/flamingoroute/settings/fleet_bounds.hpp
@@ -22,7 +22,7 @@
     milliseconds usageWindow { 0 }; ///< length of the windows in which usage is counted; zero: none
     milliseconds usageLateAfter { 10000 }; ///< from the end of a window until its report is due
     milliseconds leaseTime { 3000 }; ///< in which two holders of a duty must not alternate
-    milliseconds thawSlack { 300 }; ///< in which a holder that was paused must notice that
+    milliseconds pauseSlack { 300 }; ///< in which a holder that was paused must notice that
 
     bool operator==(const fleet_bounds&) const = default;
 };
