--- a/review/rig-2/node.hpp
+++ b/review/rig-2/node.hpp
@@ -3,6 +3,7 @@
 
 #include "http.hpp"
 
+#include <sys/prctl.h>
 #include <sys/wait.h>
 
 #include <chrono>
@@ -52,6 +53,7 @@
         m_process = ::fork();
         if (m_process != 0)
             return;
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         ::setenv("FLAMINGOROUTE_NODE_FILE", m_settings.c_str(), 1);
         const int log = ::open(m_log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         ::dup2(log, STDOUT_FILENO);
