--- a/review/rig-2/node.hpp
+++ b/review/rig-2/node.hpp
@@ -93,6 +93,8 @@
         return 0;
     }
 
+    void terminate() const { ::kill(m_process, SIGTERM); }
+
     void kill()
     {
         if (m_process <= 0)
--- a/review/rig-2/pile_up.cpp
+++ b/review/rig-2/pile_up.cpp
@@ -2,6 +2,7 @@
 
 #include "backend.hpp"
 #include "node.hpp"
+#include "record.hpp"
 #include "store.hpp"
 
 #include <cstdlib>
@@ -13,6 +14,7 @@
 namespace {
 
 using rig::message;
+using rig::record;
 using std::chrono::milliseconds;
 
 constexpr int backendCount = 12;
@@ -28,28 +30,6 @@
 constexpr milliseconds trouble { 9000 };
 constexpr milliseconds after { 3000 };
 
-/// What happened, in the order in which it happened.
-class record {
-public:
-    explicit record(const std::string& file)
-        : m_file(file)
-        , m_start(std::chrono::steady_clock::now())
-    {
-    }
-
-    void add(const std::string& text)
-    {
-        const std::lock_guard lock(m_mutex);
-        const std::chrono::duration<double> since = std::chrono::steady_clock::now() - m_start;
-        m_file << std::fixed << since.count() << " s  " << text << '\n' << std::flush;
-    }
-
-private:
-    std::mutex m_mutex;
-    std::ofstream m_file;
-    std::chrono::steady_clock::time_point m_start;
-};
-
 /// One client: a kept connection on which requests follow each other before the first one is answered.
 class client {
 public:
--- a/review/rig-2/sockets.hpp
+++ b/review/rig-2/sockets.hpp
@@ -85,6 +85,9 @@
     void shutdown() const { ::shutdown(m_socket, SHUT_RDWR); }
     int socket() const { return m_socket; }
 
+    /// @return whether the peer reset the connection instead of closing it
+    bool wasReset() const { return m_wasReset; }
+
 private:
     std::string take(std::size_t size)
     {
@@ -97,6 +100,7 @@
     {
         char buffer[65536];
         const auto count = ::recv(m_socket, buffer, sizeof buffer, 0);
+        m_wasReset = count < 0;
         if (count <= 0)
             return false;
         m_unread.append(buffer, static_cast<std::size_t>(count));
@@ -105,6 +109,7 @@
 
     int m_socket;
     std::string m_unread;
+    bool m_wasReset = false;
 };
 
 /// @return a socket that is connected to @p where, or -1
