Compare revisions of the store together with its era

Cause: a store that was restored from a copy gives out revisions again. The code compared bare numbers: an object with the name and the number of an older one was taken for that one (object_index), instances that follow a relay ignored batches and positions with lower numbers (object_watcher, digest_cache), and a watch went on from a number that the store had reached again.

Change: store_revision holds era and number and is ordered by the era first; lists, watches, positions, batches, orders and conditional writes carry it. A watcher lists again when any answer of the store shows a later era; a follower lists only if no relay forwards what makes its content the same. Contents are part of the hash that relays and followers compare, so an unchanged object costs no message after a restoration. Objects that the restored store lacks are kept for two seconds, in which their writers write them again. A condition of an earlier era is a conflict, without a call.

--- a/src/flamingoroute/fleet/store_batch.hpp
+++ b/src/flamingoroute/fleet/store_batch.hpp
@@ -1,6 +1,8 @@
 #ifndef FLAMINGOROUTE_FLEET_STORE_BATCH_HPP
 #define FLAMINGOROUTE_FLEET_STORE_BATCH_HPP
 
+#include "flamingoroute/store/store_revision.hpp"
+
 #include <msgpack.hpp>
 
 #include <cstdint>
@@ -13,23 +15,24 @@
 struct relayed_change {
     bool isDeleted = false;
     std::string name;
-    std::uint64_t revision = 0;
+    store_revision revision;
     std::string specification; ///< JSON; empty if there is none
     std::string status; ///< JSON; empty if there is none
+    std::uint64_t contentHash = 0; ///< of the object as the relay received it
 
     bool operator==(const relayed_change&) const = default;
-    MSGPACK_DEFINE(isDeleted, name, revision, specification, status)
+    MSGPACK_DEFINE(isDeleted, name, revision.number, specification, status, revision.era, contentHash)
 };
 
 /// Changes of one kind that a relay's watch returned.
 struct store_batch {
     std::string kind;
-    std::uint64_t after = 0; ///< nothing of the kind changed between this revision and the first change
-    std::uint64_t revision = 0; ///< of the store after the last change
+    store_revision after; ///< nothing of the kind changed between this revision and the first change
+    store_revision revision; ///< of the store after the last change
     std::vector<relayed_change> changes;
 
     bool operator==(const store_batch&) const = default;
-    MSGPACK_DEFINE(kind, after, revision, changes)
+    MSGPACK_DEFINE(kind, after.number, revision.number, changes, after.era, revision.era)
 };
 
 } // namespace flamingoroute
--- a/src/flamingoroute/model/version_order.hpp
+++ b/src/flamingoroute/model/version_order.hpp
@@ -3,8 +3,7 @@
 
 #include "flamingoroute/model/ids.hpp"
 #include "flamingoroute/model/monotonic_time.hpp"
-
-#include <cstdint>
+#include "flamingoroute/store/store_revision.hpp"
 
 namespace flamingoroute {
 
@@ -21,7 +20,7 @@
     milliseconds duration { 0 }; ///< from the order to its deadline
     version_order_state state = version_order_state::running;
     bool isStateWritten = false; ///< the store contains the state, not only the order
-    std::uint64_t revision = 0; ///< of the object, for a conditional write
+    store_revision revision; ///< of the object, for a conditional write
 
     bool operator==(const version_order&) const = default;
 };
--- a/src/flamingoroute/runtime/fleet_watch.cpp
+++ b/src/flamingoroute/runtime/fleet_watch.cpp
@@ -30,6 +30,8 @@
 /// A change that one relay forwards may arrive this long after the position of the other relay that includes it. Well
 /// below the shortest time limit for a change.
 constexpr milliseconds catchUpDelay { 400 };
+/// Within this time after a restoration of the store, the writers of objects that it lost have written them again.
+constexpr milliseconds restoreGrace { 2000 };
 /// Between two attempts to register; longer than the change takes to return through a watch or a relay.
 constexpr microseconds registrationGap { 2'000'000 };
 
@@ -47,15 +49,19 @@
 {
     event_line(log_level::warn, "store.unreadable")
         .with("name", object.name)
-        .with("revision", object.revision)
+        .with("revision", toString(object.revision))
         .with(failure);
 }
 
-store_batch toBatch(const std::string& kind, std::uint64_t after, const object_events& events)
+store_batch toBatch(const std::string& kind, const store_revision& after, const object_events& events)
 {
     store_batch batch { kind, after, events.revision, {} };
     for (const auto& event : events.events) {
-        relayed_change change { event.isDeleted, event.object.name, event.object.revision, {}, {} };
+        relayed_change change;
+        change.isDeleted = event.isDeleted;
+        change.name = event.object.name;
+        change.revision = event.object.revision;
+        change.contentHash = event.object.contentHash;
         if (!event.object.specification.isNull())
             change.specification = toJsonText(event.object.specification);
         if (!event.object.status.isNull())
@@ -74,7 +80,8 @@
 {
     object_event event;
     event.isDeleted = change.isDeleted;
-    event.object = { change.name, change.revision, objectIn(change.specification), objectIn(change.status) };
+    event.object
+        = { change.name, change.revision, objectIn(change.specification), objectIn(change.status), change.contentHash };
     return event;
 }
 
@@ -122,7 +129,7 @@
     object_watcher::handlers watcherHooks;
     watcherHooks.onList = std::move(onList);
     watcherHooks.onEvent = std::move(onEvent);
-    watcherHooks.onBatch = [this, kind](std::uint64_t after, const object_events& events) {
+    watcherHooks.onBatch = [this, kind](const store_revision& after, const object_events& events) {
         m_hooks.onBatch(toBatch(kind, after, events));
     };
     watcherHooks.mayFollow = [this] { return mayFollow(); };
@@ -139,6 +146,8 @@
     };
     auto watcher = std::make_shared<object_watcher>(m_state.loop, m_store, kind, std::move(watcherHooks), nextRandom);
     watcher->setCatchUpDelay(catchUpDelay);
+    // Each instance registers again when it sees that its registration is missing.
+    watcher->setRestoreGrace(kind == m_port.memberKind ? milliseconds(0) : restoreGrace);
     return watcher;
 }
 
@@ -185,6 +194,7 @@
         watcher->setWatchDelay(
             m_state.members.usesRelays() && !isActiveRelay ? watchDelayWithoutRelay : usualWatchDelay);
         watcher->checkRelay();
+        watcher->checkEra(m_store.era());
     }
     ensureSelfRegistered();
 }
@@ -224,7 +234,7 @@
     event_line(log_level::info, "configuration.adopted")
         .with("version", read->version)
         .with("before", inForce)
-        .with("revision", object.revision);
+        .with("revision", toString(object.revision));
     m_state.table = std::make_shared<const routing_table>(std::move(*read));
 }
 
@@ -250,7 +260,7 @@
         .with("outdated", isApplied ? 0 : 1)
         .with("started_at_ms", entry->startedAtMs)
         .with("sequence", entry->sequence)
-        .with("revision", object.revision);
+        .with("revision", toString(object.revision));
 }
 
 void fleet_watch::applyUpstreams(const std::vector<fleet_object>& objects)
@@ -308,7 +318,7 @@
         .with("target", order->target.value())
         .with("state", toString(order->state))
         .with("duration_ms", order->duration.count())
-        .with("revision", order->revision);
+        .with("revision", toString(order->revision));
 }
 
 void fleet_watch::applyVersionOrders(const std::vector<fleet_object>& objects)
--- a/src/flamingoroute/runtime/serving_node.cpp
+++ b/src/flamingoroute/runtime/serving_node.cpp
@@ -242,7 +242,7 @@
             .with("other_failures", evidence.otherFailures)
             .with("other_slow", evidence.otherSlow)
             .with("other_broken", evidence.otherBroken)
-            .with("revision", order.revision);
+            .with("revision", toString(order.revision));
         m_store.putStatus(m_port.versionOrderKind, order.service.value(), m_port.encodeVersionOrderStatus(order),
             order.revision, [](const auto& written) {
                 if (!written)
--- a/src/flamingoroute/runtime/usage_duty.cpp
+++ b/src/flamingoroute/runtime/usage_duty.cpp
@@ -40,6 +40,13 @@
     return lease;
 }
 
+/// @return a callback that passes the revision of a write on as an object version
+watched_store::write_callback packed(object_access::write_callback done)
+{
+    return [done = std::move(done)](
+               const tl::expected<store_revision, error>& written) { done(written.map(packRevision)); };
+}
+
 microseconds sendGapFor(const node_settings& settings)
 {
     constexpr double microsecondsPerSecond = 1e6;
@@ -75,15 +82,15 @@
             }
             const auto& specification = answer->specification;
             const std::string value = specification.isNull() ? std::string() : toJsonText(specification);
-            done(stored_object { m_port.dutyKind, name, answer->revision, value });
+            done(stored_object { m_port.dutyKind, name, packRevision(answer->revision), value });
         });
     };
     access.create = [this, name](const std::string& value, object_access::write_callback done) {
-        m_store.create(m_port.dutyKind, name, value, std::move(done));
+        m_store.create(m_port.dutyKind, name, value, packed(std::move(done)));
     };
     access.replace
         = [this, name](const std::string& value, object_version expected, object_access::write_callback done) {
-              m_store.replace(m_port.dutyKind, name, value, expected, std::move(done));
+              m_store.replace(m_port.dutyKind, name, value, unpackRevision(expected), packed(std::move(done)));
           };
     return access;
 }
--- a/src/flamingoroute/store/object_event.hpp
+++ b/src/flamingoroute/store/object_event.hpp
@@ -18,7 +18,7 @@
 /// The result of a watch.
 struct object_events {
     std::vector<object_event> events;
-    std::uint64_t revision = 0; ///< to continue watching from
+    store_revision revision; ///< to continue watching from
 
     bool operator==(const object_events&) const = default;
 };
--- a/src/flamingoroute/store/object_page.hpp
+++ b/src/flamingoroute/store/object_page.hpp
@@ -11,7 +11,7 @@
 struct object_page {
     std::vector<fleet_object> objects;
     bool hasMore = false;
-    std::uint64_t revision = 0; ///< of the store, to watch from
+    store_revision revision; ///< of the store, to watch from
 
     bool operator==(const object_page&) const = default;
 };
--- a/src/flamingoroute/store/object_watcher.cpp
+++ b/src/flamingoroute/store/object_watcher.cpp
@@ -20,6 +20,9 @@
 constexpr int maxCatchUps = 2;
 constexpr microseconds catchUpInterval { 400'000 };
 constexpr microseconds relistInterval { 3'000'000 };
+/// Added to the catch-up delay after a restoration: the relays must notice it first, and a list costs more than a
+/// catch-up.
+constexpr microseconds restoredCatchUpDelay { 1'000'000 };
 /// Poll interval of mayRetry() while another watcher probes the store.
 constexpr microseconds retryTurnInterval { 100'000 };
 
@@ -32,6 +35,7 @@
     , m_callbacks(std::move(callbacks))
     , m_random(std::move(random))
     , m_timer(loop)
+    , m_graceTimer(loop)
     , m_maxWait(defaultMaxWait)
 {
 }
@@ -42,11 +46,13 @@
 {
     m_isStopped = true;
     m_timer.cancel();
+    m_graceTimer.cancel();
 }
 
 void object_watcher::list(const std::string& after)
 {
     m_isFollowing = false;
+    m_isListing = true;
     if (after.empty())
         m_pages.clear();
     m_store.list(m_kind, after, [self = shared_from_this()](const auto& page) { self->onPage(page); });
@@ -56,26 +62,40 @@
 {
     if (m_isStopped)
         return;
+    m_isListing = false;
     if (!page) {
         onFailure(page.error());
         return;
     }
     if (m_pages.empty())
         m_pagesRevision = page->revision;
+    if (page->revision.era != m_pagesRevision.era) {
+        list(std::string());
+        return;
+    }
     m_pages.insert(m_pages.end(), page->objects.begin(), page->objects.end());
     if (page->hasMore && !page->objects.empty()) {
         list(page->objects.back().name);
         return;
     }
-    if (m_failures > 0 || !m_hasListed)
-        event_line(log_level::info, "store.listed").with("kind", m_kind).with("revision", m_pagesRevision);
+    adoptList(std::exchange(m_pages, {}));
+    followOrWatch();
+}
+
+void object_watcher::adoptList(const std::vector<fleet_object>& objects)
+{
+    const bool isRestored = m_hasListed && m_pagesRevision.era > m_revision.era;
+    if (m_failures > 0 || !m_hasListed || isRestored)
+        event_line(log_level::info, "store.listed")
+            .with("kind", m_kind)
+            .with("revision", toString(m_pagesRevision))
+            .with("before", toString(m_revision));
     m_failures = 0;
     m_lastAnswerAt = monotonicNow();
     const auto after = m_changeRevision;
     m_revision = m_pagesRevision;
     m_changeRevision = m_pagesRevision;
-    const auto objects = std::exchange(m_pages, {});
-    const auto changes = m_index.replace(objects);
+    const auto changes = replaceIndex(objects, isRestored);
     if (!m_hasListed) {
         m_hasListed = true;
         notifyListed(objects);
@@ -85,7 +105,28 @@
         if (m_callbacks.onBatch)
             m_callbacks.onBatch(after, object_events { changes, m_revision });
     }
-    followOrWatch();
+}
+
+std::vector<object_event> object_watcher::replaceIndex(const std::vector<fleet_object>& objects, bool isRestored)
+{
+    if (!isRestored || m_restoreGrace == milliseconds(0) || !m_index.hasOthersThan(objects))
+        return m_index.replace(objects);
+    m_graceTimer.expires_after(m_restoreGrace);
+    m_graceTimer.async_wait([self = shared_from_this()](const boost::system::error_code& cancelled) {
+        if (!cancelled && !self->m_isStopped)
+            self->relist();
+    });
+    return m_index.replace(objects, object_index::missing_objects::keep);
+}
+
+void object_watcher::relist()
+{
+    if (m_isListing)
+        return;
+    ++m_watchNumber;
+    m_isWatching = false;
+    m_timer.cancel();
+    list(std::string());
 }
 
 void object_watcher::followOrWatch()
@@ -106,23 +147,30 @@
     const auto position = m_callbacks.relayPosition ? m_callbacks.relayPosition() : std::nullopt;
     if (!position || position->revision <= m_revision)
         return;
+    const bool isRestored = position->revision.era > m_revision.era;
     if (position->contentHash == m_index.contentHash()) {
         m_revision = position->revision;
         m_changeRevision = position->revision;
         m_catchUps = 0;
         return;
     }
-    if (isCatchUpDue(position->revision, monotonicNow()))
+    if (!isCatchUpDue(position->revision, monotonicNow()))
+        return;
+    // The changes since a revision of an earlier era cannot be asked for.
+    if (isRestored)
+        list(std::string());
+    else
         catchUp();
 }
 
-bool object_watcher::isCatchUpDue(std::uint64_t relayRevision, monotonic_time now)
+bool object_watcher::isCatchUpDue(const store_revision& relayRevision, monotonic_time now)
 {
     if (m_missedRevision <= m_revision) {
         m_missedRevision = relayRevision;
         m_missedSince = now;
     }
-    return now - m_missedSince >= m_catchUpDelay && now >= m_nextCatchUp;
+    const auto delay = relayRevision.era > m_revision.era ? m_catchUpDelay + restoredCatchUpDelay : m_catchUpDelay;
+    return now - m_missedSince >= delay && now >= m_nextCatchUp;
 }
 
 void object_watcher::catchUp()
@@ -151,12 +199,16 @@
         return;
     }
     m_lastAnswerAt = monotonicNow();
+    if (events->revision.era != m_revision.era) {
+        list(std::string());
+        return;
+    }
     m_revision = std::max(m_revision, events->revision);
     m_changeRevision = m_revision;
     apply(events->events);
 }
 
-void object_watcher::applyBatch(std::uint64_t after, const object_events& batch)
+void object_watcher::applyBatch(const store_revision& after, const object_events& batch)
 {
     if (m_isStopped || !m_hasListed || batch.revision <= m_revision)
         return;
@@ -194,7 +246,7 @@
         event_line(log_level::error, "store.event_failed")
             .with("kind", m_kind)
             .with("name", event.object.name)
-            .with("revision", event.object.revision)
+            .with("revision", toString(event.object.revision))
             .with("detail", problem.what());
     }
 }
@@ -213,9 +265,13 @@
 {
     if (!m_isWatching || m_isStopped)
         return;
-    ++m_watchNumber;
-    m_isWatching = false;
-    list(std::string());
+    relist();
+}
+
+void object_watcher::checkEra(std::uint64_t storeEra)
+{
+    if (storeEra > m_revision.era)
+        abandonWatch();
 }
 
 void object_watcher::onEvents(const tl::expected<object_events, error>& events)
@@ -229,6 +285,10 @@
             m_callbacks.onWatchTimeout();
         return;
     }
+    if (events->revision.era != m_revision.era) {
+        relist();
+        return;
+    }
     m_failures = 0;
     m_lastAnswerAt = monotonicNow();
     const auto after = m_changeRevision;
@@ -248,7 +308,10 @@
 void object_watcher::onFailure(const error& failure)
 {
     if (m_failures == 0)
-        event_line(log_level::warn, "store.lost").with("kind", m_kind).with("revision", m_revision).with(failure);
+        event_line(log_level::warn, "store.lost")
+            .with("kind", m_kind)
+            .with("revision", toString(m_revision))
+            .with(failure);
     ++m_failures;
     const auto exponential = initialBackoff * (1 << std::min(m_failures - 1, maxBackoffDoublings));
     const auto delay = std::min(maxBackoff, exponential);
@@ -270,7 +333,7 @@
 void object_watcher::retry()
 {
     if (m_hasListed && m_callbacks.mayFollow && m_callbacks.mayFollow()) {
-        event_line(log_level::info, "store.relayed").with("kind", m_kind).with("revision", m_revision);
+        event_line(log_level::info, "store.relayed").with("kind", m_kind).with("revision", toString(m_revision));
         m_failures = 0;
         m_isFollowing = true;
         return;
--- a/src/flamingoroute/store/object_watcher.hpp
+++ b/src/flamingoroute/store/object_watcher.hpp
@@ -20,6 +20,10 @@
 /// Follows all objects of one kind: lists them, then watches for changes, and lists again after each failed watch.
 /// While a relay forwards changes, it calls the store only for changes that the relay's position shows to be missing.
 /// Retries through outages with exponential back-off.
+///
+/// After a restoration of the store it lists the objects again: what it knows of the era before may be gone, and what
+/// was written since may have the same revisions. Objects that the list lacks are kept for a time, in which their
+/// writers write them again.
 class object_watcher : public std::enable_shared_from_this<object_watcher> {
 public:
     struct handlers {
@@ -29,7 +33,7 @@
         std::function<void(const object_event&)> onEvent;
         /// Called after each watch that returned changes, and after each later list that found some.
         /// @param after nothing changed between this revision and the first change
-        std::function<void(std::uint64_t after, const object_events&)> onBatch;
+        std::function<void(const store_revision& after, const object_events&)> onBatch;
         /// @return whether a relay forwards changes, so that no watch is needed
         std::function<bool()> mayFollow;
         /// @return the position of a relay, if one is reachable
@@ -52,11 +56,15 @@
     /// Ignores the answer of an open watch, if there is one, and lists again.
     void abandonWatch();
 
+    /// Lists again if the store has been restored since the last list; a relay's changes show that otherwise.
+    /// @param storeEra the latest era that is known of the store
+    void checkEra(std::uint64_t storeEra);
+
     /// While following a relay: checks whether the relay still forwards changes and whether a change was missed.
     void checkRelay();
 
     /// Applies changes forwarded by a relay. A missed batch is detected by the relay's position, in checkRelay().
-    void applyBatch(std::uint64_t after, const object_events& batch);
+    void applyBatch(const store_revision& after, const object_events& batch);
 
     /// @param maxWait how long the store may wait before it answers a watch without changes
     void setMaxWait(milliseconds maxWait) { m_maxWait = maxWait; }
@@ -68,6 +76,9 @@
     ///        arrive before the change that another relay forwards
     void setCatchUpDelay(milliseconds delay) { m_catchUpDelay = delay; }
 
+    /// @param delay how long objects are kept that a restored store lacks; zero: not at all
+    void setRestoreGrace(milliseconds delay) { m_restoreGrace = delay; }
+
     /// @return up to which revision all changes are known, and a hash of the content
     store_position position() const { return { m_revision, m_index.contentHash() }; }
 
@@ -89,7 +100,10 @@
     void runAfter(microseconds delay, void (object_watcher::*step)());
     void retry();
     void followOrWatch();
-    bool isCatchUpDue(std::uint64_t relayRevision, monotonic_time now);
+    void relist();
+    void adoptList(const std::vector<fleet_object>& objects);
+    std::vector<object_event> replaceIndex(const std::vector<fleet_object>& objects, bool isRestored);
+    bool isCatchUpDue(const store_revision& relayRevision, monotonic_time now);
     void catchUp();
     void onCatchUpResult(const tl::expected<object_events, error>& events);
     void apply(const std::vector<object_event>& events);
@@ -101,22 +115,25 @@
     handlers m_callbacks;
     std::function<double()> m_random;
     boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_graceTimer; ///< after it, objects that a restored store still lacks count as deleted
     std::vector<fleet_object> m_pages;
-    std::uint64_t m_pagesRevision = 0;
+    store_revision m_pagesRevision;
     object_index m_index;
-    std::uint64_t m_revision = 0; ///< up to which all changes are known
-    std::uint64_t m_changeRevision = 0; ///< after which no change is known
+    store_revision m_revision; ///< up to which all changes are known
+    store_revision m_changeRevision; ///< after which no change is known
     milliseconds m_maxWait;
     milliseconds m_watchDelay { 0 };
     milliseconds m_catchUpDelay { 0 };
+    milliseconds m_restoreGrace { 0 };
     monotonic_time m_lastAnswerAt;
     std::uint64_t m_watchNumber = 0; ///< of the current watch; answers to earlier ones are ignored
+    bool m_isListing = false;
     bool m_isWatching = false;
     bool m_isFollowing = false;
     bool m_isCatchingUp = false;
     int m_catchUps = 0; ///< since the content last matched the relay's
     monotonic_time m_nextCatchUp;
-    std::uint64_t m_missedRevision = 0; ///< of the relay, when it first showed the change that is missing now
+    store_revision m_missedRevision; ///< of the relay, when it first showed the change that is missing now
     monotonic_time m_missedSince;
     int m_failures = 0;
     bool m_hasListed = false;
--- a/src/flamingoroute/store/watched_store.hpp
+++ b/src/flamingoroute/store/watched_store.hpp
@@ -25,16 +25,20 @@
     using page_callback = std::function<void(tl::expected<object_page, error>)>;
     using events_callback = std::function<void(tl::expected<object_events, error>)>;
     using object_callback = std::function<void(tl::expected<fleet_object, error>)>;
-    using write_callback = std::function<void(tl::expected<std::uint64_t, error>)>;
+    using write_callback = std::function<void(tl::expected<store_revision, error>)>;
 
     virtual ~watched_store() = default;
 
     /// Lists objects of @p kind, sorted by name, starting after the name @p after.
     virtual void list(const std::string& kind, const std::string& after, page_callback done) = 0;
 
-    /// Waits for changes after revision @p after.
+    /// @return the latest era that any answer of the store has shown; it is part of the revisions in the answers
+    virtual std::uint64_t era() const = 0;
+
+    /// Waits for changes after revision @p after. The answer may be one of a later era, and then lacks changes.
     /// @param maxWait how long the store waits; the answer is empty if there was no change by then
-    virtual void watch(const std::string& kind, std::uint64_t after, milliseconds maxWait, events_callback done) = 0;
+    virtual void watch(const std::string& kind, const store_revision& after, milliseconds maxWait, events_callback done)
+        = 0;
 
     /// Creates or replaces an object's specification unconditionally.
     /// @param specification JSON
@@ -42,10 +46,10 @@
         const std::string& kind, const std::string& name, const std::string& specification, write_callback done)
         = 0;
 
-    /// Replaces an object's status if it still has @p revision.
+    /// Replaces an object's status if it still has @p revision; `conflict` if that belongs to an earlier era.
     /// @param status JSON
     virtual void putStatus(const std::string& kind, const std::string& name, const std::string& status,
-        std::uint64_t revision, write_callback done)
+        const store_revision& revision, write_callback done)
         = 0;
 
     /// Reads one object.
@@ -58,10 +62,10 @@
         const std::string& kind, const std::string& name, const std::string& specification, write_callback done)
         = 0;
 
-    /// Replaces an object's specification if it still has @p revision.
+    /// Replaces an object's specification if it still has @p revision; `conflict` if that belongs to an earlier era.
     /// @param specification JSON
     virtual void replace(const std::string& kind, const std::string& name, const std::string& specification,
-        std::uint64_t revision, write_callback done)
+        const store_revision& revision, write_callback done)
         = 0;
 
     /// Deletes an object.
--- a/tests/integration/platform_node_test.cpp
+++ b/tests/integration/platform_node_test.cpp
@@ -109,6 +109,41 @@
     EXPECT_TRUE(waitFor([&] { return node->send("c2", "k9", "GET", "/read/1").status == 200; }));
 }
 
+// CONFIG: the revision of an older configuration, given out again by a restored store, hid a newer configuration.
+TEST_F(platform_node_test, adopts_a_configuration_whose_revision_the_store_gave_out_before_it_was_restored)
+{
+    store.copy();
+    store.put("config", "main", configurationText(5, "k5"));
+    ASSERT_TRUE(waitFor([&] { return node->send("r1", "k5", "GET", "/read/1").status == 200; }));
+    store.setDown(true);
+    store.restore();
+    store.put("config", "main", configurationText(6, "k6"));
+    EXPECT_TRUE(waitFor([&] { return node->log().find("event=store.lost") != std::string::npos; }));
+    store.setDown(false);
+    EXPECT_TRUE(waitFor([&] { return node->send("r2", "k6", "GET", "/read/1").status == 200; }));
+    EXPECT_EQ(node->send("r3", "k5", "GET", "/read/1").status, 401);
+}
+
+// CONFIG: a watch went on from a revision that the restored store had reached again, and left out what came before it.
+TEST_F(platform_node_test, adopts_a_configuration_that_a_restored_store_got_before_the_revision_of_an_open_watch)
+{
+    store.copy();
+    store.put("config", "main", configurationText(5, "k5"));
+    ASSERT_TRUE(waitFor([&] { return node->send("o1", "k5", "GET", "/read/1").status == 200; }));
+    store.restore({ { "config", "main", configurationText(6, "k6") }, { "evacuations", "oriente-a", "{}" } });
+    EXPECT_TRUE(waitFor([&] { return node->send("o2", "k6", "GET", "/read/1").status == 200; }));
+}
+
+TEST_F(platform_node_test, writes_its_registration_again_when_a_restored_store_lacks_it)
+{
+    platform_store_stand_in fresh;
+    fresh.copy();
+    platform_node late("node-2", fresh.address());
+    EXPECT_TRUE(waitFor([&] { return fresh.names("flamingoroute-members").size() == 1; }));
+    fresh.restore();
+    EXPECT_TRUE(waitFor([&] { return fresh.names("flamingoroute-members").size() == 1; }));
+}
+
 // CONFIG, DRAIN: calls made in the last moments of a silent outage never get an answer, and the next ones wait for
 // them.
 TEST_F(platform_node_test, applies_changes_soon_after_a_silent_outage_in_whose_last_moments_it_called_the_store)
--- a/tests/support/platform/platform_store_stand_in.cpp
+++ b/tests/support/platform/platform_store_stand_in.cpp
@@ -101,10 +101,15 @@
     const std::string& kind, const std::string& name, const std::string& specification, const std::string& finalizers)
 {
     const std::lock_guard lock(m_mutex);
-    auto object = m_objects[kind][name];
-    object.specification = specification;
+    specify({ kind, name, specification }, finalizers);
+}
+
+void platform_store_stand_in::specify(const specified_object& specified, const std::string& finalizers)
+{
+    auto object = m_objects[specified.kind][specified.name];
+    object.specification = specified.specification;
     object.finalizers = finalizers;
-    store(kind, name, object, false);
+    store(specified.kind, specified.name, object, false);
 }
 
 void platform_store_stand_in::remove(const std::string& kind, const std::string& name)
@@ -120,6 +125,25 @@
     m_changed.notify_all();
 }
 
+void platform_store_stand_in::copy()
+{
+    const std::lock_guard lock(m_mutex);
+    m_copy = { m_objects, m_revision };
+}
+
+void platform_store_stand_in::restore(const std::vector<specified_object>& rewritten)
+{
+    const std::lock_guard lock(m_mutex);
+    m_objects = m_copy.objects;
+    m_revision = m_copy.revision;
+    m_history.clear();
+    m_historyFrom = m_revision;
+    ++m_era;
+    for (const auto& object : rewritten)
+        specify(object);
+    m_changed.notify_all();
+}
+
 std::string platform_store_stand_in::statusOf(const std::string& kind, const std::string& name) const
 {
     const std::lock_guard lock(m_mutex);
@@ -182,10 +206,10 @@
             events += std::string(events.empty() ? "" : ",") + R"({"deleted":)" + (one.isDeleted ? "true" : "false")
                 + R"(,"object":)" + toJson(one.name, one.object) + "}";
         }
-        return !events.empty() || m_isStopping || m_isDown || after < m_historyFrom;
+        return !events.empty() || m_isStopping || m_isDown || after < m_historyFrom || after > m_revision;
     };
     m_changed.wait_for(lock, std::chrono::milliseconds(waitMs), collect);
-    if (after < m_historyFrom) {
+    if (after < m_historyFrom || after > m_revision) {
         status = Poco::Net::HTTPResponse::HTTP_GONE;
         return "{}";
     }
@@ -221,6 +245,12 @@
     return toJson(name, object);
 }
 
+std::uint64_t platform_store_stand_in::eraNow() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_era;
+}
+
 void platform_store_stand_in::waitWhileSilent() const
 {
     constexpr std::chrono::milliseconds pollStep { 20 };
@@ -266,6 +296,7 @@
         throw Poco::IOException("answer dropped by the test");
     response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
     response.setContentType("application/json");
+    response.set("Store-Era", std::to_string(eraNow()));
     response.setContentLength(static_cast<std::streamsize>(answer.size()));
     response.send() << answer;
 }
--- a/tests/support/platform/platform_store_stand_in.hpp
+++ b/tests/support/platform/platform_store_stand_in.hpp
@@ -26,6 +26,13 @@
     platform_store_stand_in();
     ~platform_store_stand_in();
 
+    /// An object as its writer specifies it.
+    struct specified_object {
+        std::string kind;
+        std::string name;
+        std::string specification;
+    };
+
     endpoint address() const { return m_address; }
 
     /// Creates an object or replaces its specification, like a write by the operator or an upstream.
@@ -49,6 +56,14 @@
     /// While set, calls receive no answer. Those made meanwhile receive none later either, as in a silent outage.
     void setSilent(bool isSilent) { m_isSilent = isSilent; }
 
+    /// Keeps a copy of all objects and of the revision counter.
+    void copy();
+
+    /// Returns to the last copy: the store forgets what was written since, gives out its revisions again and begins a
+    /// new era. Watches from a revision that it does not have then fail with 410.
+    /// @param rewritten written again before any call is answered
+    void restore(const std::vector<specified_object>& rewritten = {});
+
     /// Makes watches from a revision before the current one fail with 410, as after a compaction of the history.
     void dropHistory();
 
@@ -60,6 +75,11 @@
         std::string finalizers = "[]";
     };
 
+    struct store_copy {
+        std::map<std::string, std::map<std::string, held_object>> objects;
+        std::uint64_t revision = 0;
+    };
+
     struct change {
         std::uint64_t revision = 0;
         std::string kind;
@@ -69,12 +89,14 @@
     };
 
     void serve(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response);
+    std::uint64_t eraNow() const;
     void waitWhileSilent() const;
     std::string read(const std::string& kind, const std::string& name, int& status) const;
     std::string list(const std::string& kind) const;
     std::string watch(const std::string& kind, std::uint64_t after, int waitMs, int& status);
     std::string write(
         const std::string& method, const std::vector<std::string>& path, const std::string& body, int& status);
+    void specify(const specified_object& specified, const std::string& finalizers = "[]");
     void store(const std::string& kind, const std::string& name, const held_object& object, bool isDeleted);
     static std::string toJson(const std::string& name, const held_object& object);
 
@@ -84,6 +106,8 @@
     std::vector<change> m_history;
     std::uint64_t m_revision = 1;
     std::uint64_t m_historyFrom = 0;
+    std::uint64_t m_era = 1;
+    store_copy m_copy;
     std::atomic<bool> m_isDown { false };
     std::atomic<bool> m_isLosingAnswers { false };
     std::atomic<bool> m_isSilent { false };
--- a/tests/unit/store/object_watcher_test.cpp
+++ b/tests/unit/store/object_watcher_test.cpp
@@ -4,6 +4,7 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <thread>
 
 namespace flamingoroute {
@@ -19,18 +20,21 @@
 class mock_watched_store : public watched_store {
 public:
     MOCK_METHOD(void, list, (const std::string&, const std::string&, page_callback), (override));
-    MOCK_METHOD(void, watch, (const std::string&, std::uint64_t, milliseconds, events_callback), (override));
+    MOCK_METHOD(std::uint64_t, era, (), (const, override));
+    MOCK_METHOD(void, watch, (const std::string&, const store_revision&, milliseconds, events_callback), (override));
     MOCK_METHOD(void, put, (const std::string&, const std::string&, const std::string&, write_callback), (override));
     MOCK_METHOD(void, putStatus,
-        (const std::string&, const std::string&, const std::string&, std::uint64_t, write_callback), (override));
+        (const std::string&, const std::string&, const std::string&, const store_revision&, write_callback),
+        (override));
     MOCK_METHOD(void, read, (const std::string&, const std::string&, bool, object_callback), (override));
     MOCK_METHOD(void, create, (const std::string&, const std::string&, const std::string&, write_callback), (override));
     MOCK_METHOD(void, replace,
-        (const std::string&, const std::string&, const std::string&, std::uint64_t, write_callback), (override));
+        (const std::string&, const std::string&, const std::string&, const store_revision&, write_callback),
+        (override));
     MOCK_METHOD(void, remove, (const std::string&, const std::string&, write_callback), (override));
 };
 
-fleet_object objectNamed(const std::string& name, std::uint64_t revision = 1)
+fleet_object objectNamed(const std::string& name, const store_revision& revision = 1)
 {
     fleet_object object;
     object.name = name;
@@ -39,7 +43,7 @@
 }
 
 /// @return the position of a relay that has @p objects
-store_position positionAt(std::uint64_t revision, const std::vector<fleet_object>& objects)
+store_position positionAt(const store_revision& revision, const std::vector<fleet_object>& objects)
 {
     object_index index;
     index.replace(objects);
@@ -77,7 +81,7 @@
             else
                 names.push_back(event.object.name);
         };
-        callbacks.onBatch = [this](std::uint64_t after, const object_events& batch) {
+        callbacks.onBatch = [this](const store_revision& after, const object_events& batch) {
             batchesAfter.push_back(after);
             lastBatch = batch;
         };
@@ -101,9 +105,9 @@
     watched_store::page_callback onPage;
     watched_store::events_callback onEvents;
     std::vector<std::string> listedAfter;
-    std::vector<std::uint64_t> watchedAfter;
+    std::vector<store_revision> watchedAfter;
     std::vector<std::string> names;
-    std::vector<std::uint64_t> batchesAfter;
+    std::vector<store_revision> batchesAfter;
     bool isRelayReachable = false;
     bool mayRetry = true;
     std::optional<store_position> relayPosition;
@@ -133,7 +137,7 @@
     EXPECT_EQ(fixture.lists, 1);
     EXPECT_EQ(fixture.names, (std::vector<std::string> { "a", "b", "c" }));
     EXPECT_EQ(fixture.listedAfter, (std::vector<std::string> { "", "b" }));
-    EXPECT_EQ(fixture.watchedAfter, (std::vector<std::uint64_t> { 10 }));
+    EXPECT_EQ(fixture.watchedAfter, (std::vector<store_revision> { 10 }));
 }
 
 TEST(object_watcher, continues_from_the_revision_of_the_last_events)
@@ -143,7 +147,7 @@
     fixture.onEvents(object_events { { { false, objectNamed("a") } }, 12 });
     fixture.onEvents(object_events { {}, 12 });
     EXPECT_EQ(fixture.names, (std::vector<std::string> { "a" }));
-    EXPECT_EQ(fixture.watchedAfter, (std::vector<std::uint64_t> { 10, 12, 12 }));
+    EXPECT_EQ(fixture.watchedAfter, (std::vector<store_revision> { 10, 12, 12 }));
 }
 
 TEST(object_watcher, goes_on_with_the_other_objects_after_one_whose_handler_throws)
@@ -152,7 +156,7 @@
     fixture.onPage(object_page { {}, false, 10 });
     fixture.onEvents(object_events { { { false, objectNamed(unusableName) }, { false, objectNamed("a") } }, 12 });
     EXPECT_EQ(fixture.names, (std::vector<std::string> { "a" }));
-    EXPECT_EQ(fixture.watchedAfter, (std::vector<std::uint64_t> { 10, 12 }));
+    EXPECT_EQ(fixture.watchedAfter, (std::vector<store_revision> { 10, 12 }));
 }
 
 TEST(object_watcher, lists_anew_after_any_failed_watch)
@@ -166,7 +170,7 @@
         ASSERT_EQ(fixture.listedAfter.size(), 2U);
         fixture.onPage(object_page { {}, false, 20 });
         EXPECT_TRUE(fixture.names.empty());
-        EXPECT_EQ(fixture.watchedAfter.back(), 20U);
+        EXPECT_EQ(fixture.watchedAfter.back(), store_revision(20));
         EXPECT_TRUE(fixture.watcher->isConnected());
     }
 }
@@ -178,7 +182,7 @@
     fixture.onEvents(object_events { {}, 15 });
     fixture.onEvents(object_events { { { false, objectNamed("a") } }, 20 });
     fixture.onEvents(object_events { { { false, objectNamed("b") } }, 25 });
-    EXPECT_EQ(fixture.batchesAfter, (std::vector<std::uint64_t> { 10, 20 }));
+    EXPECT_EQ(fixture.batchesAfter, (std::vector<store_revision> { 10, 20 }));
 }
 
 TEST(object_watcher, follows_a_relay_without_watching_the_store)
@@ -217,7 +221,7 @@
     fixture.relayPosition = positionAt(30, { objectNamed("a"), objectNamed("b", 23), objectNamed("c", 30) });
     fixture.watcher->checkRelay();
     fixture.watcher->checkRelay();
-    EXPECT_EQ(fixture.watchedAfter, (std::vector<std::uint64_t> { 20 }));
+    EXPECT_EQ(fixture.watchedAfter, (std::vector<store_revision> { 20 }));
     fixture.onEvents(object_events { { { false, objectNamed("b", 23) }, { false, objectNamed("c", 30) } }, 31 });
     EXPECT_EQ(fixture.names, (std::vector<std::string> { "a", "c", "b" }));
     fixture.relayPosition->revision = 40;
@@ -247,7 +251,7 @@
     EXPECT_TRUE(fixture.watchedAfter.empty());
     std::this_thread::sleep_for(milliseconds(70));
     fixture.watcher->checkRelay();
-    EXPECT_EQ(fixture.watchedAfter, (std::vector<std::uint64_t> { 30 }));
+    EXPECT_EQ(fixture.watchedAfter, (std::vector<store_revision> { 30 }));
 }
 
 TEST(object_watcher, makes_no_call_when_a_relay_has_read_further_but_knows_the_same_objects)
@@ -257,7 +261,7 @@
     fixture.onPage(object_page { { objectNamed("a") }, false, 20 });
     fixture.relayPosition = positionAt(90, { objectNamed("a") });
     fixture.watcher->checkRelay();
-    EXPECT_EQ(fixture.watcher->position().revision, 90U);
+    EXPECT_EQ(fixture.watcher->position().revision, store_revision(90));
     EXPECT_TRUE(fixture.watchedAfter.empty());
     EXPECT_EQ(fixture.listedAfter.size(), 1U);
 }
@@ -287,9 +291,9 @@
     fixture.onPage(object_page { { objectNamed("a"), objectNamed("b", 15), objectNamed("d", 17) }, false, 20 });
     EXPECT_EQ(fixture.lists, 1);
     EXPECT_EQ(fixture.names, (std::vector<std::string> { "a", "b", "b", "d" }));
-    ASSERT_EQ(fixture.batchesAfter, (std::vector<std::uint64_t> { 10 }));
+    ASSERT_EQ(fixture.batchesAfter, (std::vector<store_revision> { 10 }));
     EXPECT_EQ(fixture.lastBatch.events.size(), 3U);
-    EXPECT_EQ(fixture.lastBatch.revision, 20U);
+    EXPECT_EQ(fixture.lastBatch.revision, store_revision(20));
 }
 
 TEST(object_watcher, follows_the_relay_after_a_failed_call)
@@ -324,7 +328,7 @@
     fixture.watcher->checkRelay();
     ASSERT_EQ(fixture.listedAfter.size(), 2U);
     fixture.onPage(object_page { {}, false, 40 });
-    EXPECT_EQ(fixture.watchedAfter, (std::vector<std::uint64_t> { 40 }));
+    EXPECT_EQ(fixture.watchedAfter, (std::vector<store_revision> { 40 }));
 }
 
 TEST(object_watcher, waits_for_the_gap_before_the_next_watch)
@@ -334,11 +338,11 @@
     fixture.onPage(object_page { {}, false, 10 });
     fixture.onEvents(object_events { { { false, objectNamed("a") } }, 12 });
     EXPECT_EQ(fixture.names, (std::vector<std::string> { "a" }));
-    EXPECT_EQ(fixture.watchedAfter, (std::vector<std::uint64_t> { 10 }));
+    EXPECT_EQ(fixture.watchedAfter, (std::vector<store_revision> { 10 }));
     fixture.runRetry();
-    EXPECT_EQ(fixture.watchedAfter, (std::vector<std::uint64_t> { 10, 12 }));
+    EXPECT_EQ(fixture.watchedAfter, (std::vector<store_revision> { 10, 12 }));
     fixture.onEvents(object_events { {}, 20 });
-    EXPECT_EQ(fixture.watchedAfter.back(), 20U);
+    EXPECT_EQ(fixture.watchedAfter.back(), store_revision(20));
 }
 
 TEST(object_watcher, tells_of_silence_and_lists_anew_instead_of_waiting_for_a_watch_that_is_distrusted)
@@ -362,6 +366,94 @@
     EXPECT_EQ(fixture.names, (std::vector<std::string> { "a", "late" }));
 }
 
+// CONFIG: instances that follow relays ignored the changes of a restored store until its revisions had caught up.
+TEST(object_watcher, applies_a_relays_changes_of_a_restored_store_although_their_revisions_are_lower)
+{
+    watcher_fixture fixture;
+    fixture.isRelayReachable = true;
+    fixture.onPage(object_page { { objectNamed("a", { 5, 1 }) }, false, { 20, 1 } });
+    const auto changed = objectNamed("a", { 12, 2 });
+    fixture.relayPosition = positionAt({ 12, 2 }, { changed });
+    fixture.watcher->checkRelay();
+    fixture.watcher->applyBatch({ 20, 1 }, object_events { { { false, changed } }, { 12, 2 } });
+    fixture.watcher->checkRelay();
+    EXPECT_EQ(fixture.names, (std::vector<std::string> { "a", "a" }));
+    EXPECT_EQ(fixture.watcher->position(), *fixture.relayPosition);
+    fixture.watcher->applyBatch({ 20, 1 }, object_events { { { false, objectNamed("late", { 25, 1 }) } }, { 25, 1 } });
+    EXPECT_EQ(fixture.names.size(), 2U);
+    EXPECT_EQ(fixture.listedAfter.size(), 1U);
+}
+
+TEST(object_watcher, lists_what_a_restored_store_has_if_no_relay_forwards_it)
+{
+    watcher_fixture fixture;
+    fixture.isRelayReachable = true;
+    fixture.onPage(object_page { { objectNamed("a", { 5, 1 }) }, false, { 20, 1 } });
+    fixture.relayPosition = positionAt({ 12, 2 }, { objectNamed("a", { 12, 2 }) });
+    fixture.watcher->checkRelay();
+    EXPECT_EQ(fixture.listedAfter.size(), 1U);
+    std::this_thread::sleep_for(milliseconds(1010));
+    fixture.watcher->checkRelay();
+    EXPECT_EQ(fixture.listedAfter.size(), 2U);
+    EXPECT_TRUE(fixture.watchedAfter.empty());
+}
+
+// CONFIG: an object with the name and the revision of one from before the restoration was taken for that one.
+TEST(object_watcher, reports_an_object_that_has_the_revision_of_another_before_the_restoration)
+{
+    watcher_fixture fixture;
+    auto object = objectNamed("a", { 15, 1 });
+    object.contentHash = 1;
+    fixture.onPage(object_page { { object, objectNamed("same", { 4, 1 }) }, false, { 20, 1 } });
+    fixture.onEvents(failed(error_code::expired));
+    fixture.runRetry();
+    object.revision = { 15, 2 };
+    object.contentHash = 2;
+    fixture.onPage(object_page { { object, objectNamed("same", { 4, 2 }) }, false, { 15, 2 } });
+    EXPECT_EQ(fixture.names, (std::vector<std::string> { "a", "same", "a" }));
+    EXPECT_EQ(fixture.watchedAfter.back(), store_revision(15, 2));
+}
+
+// CONFIG: a watch from a revision that the restored store had reached again was continued.
+TEST(object_watcher, lists_anew_when_a_watch_is_answered_in_a_later_era)
+{
+    watcher_fixture fixture;
+    fixture.onPage(object_page { { objectNamed("a", { 15, 1 }) }, false, { 20, 1 } });
+    fixture.onEvents(object_events { { { false, objectNamed("b", { 22, 2 }) } }, { 22, 2 } });
+    EXPECT_EQ(fixture.listedAfter.size(), 2U);
+    fixture.onPage(object_page { { objectNamed("a", { 18, 2 }) }, false, { 22, 2 } });
+    fixture.watcher->checkEra(2);
+    EXPECT_EQ(fixture.listedAfter.size(), 2U);
+    fixture.watcher->checkEra(3);
+    EXPECT_EQ(fixture.listedAfter.size(), 3U);
+    EXPECT_EQ(fixture.names, (std::vector<std::string> { "a", "a" }));
+}
+
+TEST(object_watcher, keeps_what_a_restored_store_lacks_until_its_writer_had_time_to_write_it_again)
+{
+    watcher_fixture fixture;
+    fixture.watcher->setRestoreGrace(milliseconds(100));
+    fixture.onPage(
+        object_page { { objectNamed("again", { 15, 1 }), objectNamed("gone", { 16, 1 }) }, false, { 20, 1 } });
+    fixture.watcher->checkEra(2);
+    fixture.onPage(object_page { {}, false, { 12, 2 } });
+    fixture.onEvents(object_events { { { false, objectNamed("again", { 13, 2 }) } }, { 13, 2 } });
+    EXPECT_EQ(fixture.names, (std::vector<std::string> { "again", "gone", "again" }));
+    fixture.runRetry();
+    fixture.onPage(object_page { { objectNamed("again", { 13, 2 }) }, false, { 14, 2 } });
+    EXPECT_EQ(std::count(fixture.names.begin(), fixture.names.end(), "gone"), 0);
+    EXPECT_EQ(std::count(fixture.names.begin(), fixture.names.end(), "again"), 2);
+}
+
+TEST(object_watcher, begins_a_list_again_whose_pages_are_of_two_eras)
+{
+    watcher_fixture fixture;
+    fixture.onPage(object_page { { objectNamed("a", { 15, 1 }) }, true, { 20, 1 } });
+    fixture.onPage(object_page { { objectNamed("b", { 11, 2 }) }, false, { 12, 2 } });
+    EXPECT_EQ(fixture.listedAfter, (std::vector<std::string> { "", "a", "" }));
+    EXPECT_EQ(fixture.lists, 0);
+}
+
 TEST(object_watcher, calls_no_handler_after_it_was_stopped)
 {
     watcher_fixture fixture;
