Keep the decision on a version that a restored store has forgotten

What callers would see: a version that was rolled back gets a share of the requests again, or a completed one loses its traffic to upstreams that were stopped, until the fleet has decided once more.

Cause: the decision is our own write, so the copy lacks it, and the gate took the order's state from the store as it was. Change: an order that comes back undecided in a later era keeps its decision, which is due to be written again. A write whose condition is of an earlier era is a conflict; the order is then read again, since one that did not change causes no event.

The new test of version_gate failed before the change.

--- a/src/flamingoroute/moves/version_gate.cpp
+++ b/src/flamingoroute/moves/version_gate.cpp
@@ -65,18 +65,35 @@
         m_newVersions[service].emplace(version, now);
 }
 
+bool version_gate::isForgottenBy(const version_order& stored, const running_order& known)
+{
+    const bool isDecided = known.order.state != version_order_state::running;
+    const bool isOfLaterEra = stored.revision.era > known.order.revision.era;
+    return stored.state == version_order_state::running && isDecided && (isOfLaterEra || known.isForgotten);
+}
+
 void version_gate::recordOrder(const version_order& order, monotonic_time now)
 {
     auto existing = m_orders.find(order.service);
     const bool isSame = existing != m_orders.end() && existing->second.order.target == order.target
         && existing->second.order.duration == order.duration;
     if (!isSame) {
-        m_orders[order.service] = running_order { order, now, now, {}, {}, {} };
+        m_orders[order.service] = running_order { order, now, now, {}, {}, {}, false };
         existing = m_orders.find(order.service);
         if (order.state != version_order_state::rolled_back)
             m_rolledBack[order.service].erase(order.target);
     }
-    existing->second.order = order;
+    auto& known = existing->second;
+    if (isForgottenBy(order, known)) {
+        const auto decided = known.order.state;
+        known.readAt = known.isForgotten ? known.readAt : now;
+        known.isForgotten = true;
+        known.order = order;
+        known.order.state = decided;
+        return;
+    }
+    known.isForgotten = false;
+    known.order = order;
     if (order.state == version_order_state::rolled_back)
         m_rolledBack[order.service].insert(order.target);
 }
@@ -240,10 +257,12 @@
 {
     std::vector<version_order> due;
     for (const auto& [service, running] : m_orders) {
+        const auto delay = writeDelay(rank);
+        if (running.isForgotten && now - running.readAt >= delay)
+            due.push_back(running.order);
         if (running.order.state != version_order_state::running)
             continue;
         version_order next = running.order;
-        const auto delay = writeDelay(rank);
         const bool isDurationOver = now - running.startedAt >= running.order.duration - completionMargin + delay;
         const bool isTimeOver = now - running.startedAt >= maxDurations * running.order.duration + delay;
         const bool isRollbackDue = running.badSince && now - *running.badSince >= delay;
--- a/src/flamingoroute/moves/version_gate.hpp
+++ b/src/flamingoroute/moves/version_gate.hpp
@@ -41,7 +41,8 @@
     /// @param isFirstList whether the list was read at startup; its versions are in use already
     void recordVersion(const service_id& service, const version_id& version, bool isFirstList, monotonic_time now);
 
-    /// Called with the current state of an order in the store.
+    /// Called with the current state of an order in the store. A decision that a restored store has forgotten stays,
+    /// and is due to be written again.
     void recordOrder(const version_order& order, monotonic_time now);
     void removeOrder(const service_id& service);
     bool hasOrders() const { return !m_orders.empty(); }
@@ -79,8 +80,10 @@
         version_tally local;
         version_tally fleet;
         std::optional<monotonic_time> badSince; ///< when the tallies first showed the version to be bad
+        bool isForgotten = false; ///< a restored store has the order without its decided state
     };
 
+    static bool isForgottenBy(const version_order& stored, const running_order& known);
     bool isTrialActive(const running_order& running, monotonic_time now) const;
     double shareOf(const running_order& running, monotonic_time now) const;
     static std::uint64_t ageOf(const running_order& running, monotonic_time now);
--- a/src/flamingoroute/runtime/fleet_watch.cpp
+++ b/src/flamingoroute/runtime/fleet_watch.cpp
@@ -327,6 +327,16 @@
         applyVersionOrder(object);
 }
 
+void fleet_watch::refreshVersionOrder(const service_id& service)
+{
+    m_store.read(m_port.versionOrderKind, service.value(), false, [this, service](const auto& object) {
+        if (object)
+            applyVersionOrder(*object);
+        else
+            event_line(log_level::info, "version_order.not_read").with("service", service.value()).with(object.error());
+    });
+}
+
 void fleet_watch::applyEvacuations()
 {
     milliseconds coldTime { 0 };
--- a/src/flamingoroute/runtime/fleet_watch.hpp
+++ b/src/flamingoroute/runtime/fleet_watch.hpp
@@ -47,6 +47,9 @@
     /// Applies changes that a relay forwarded.
     void applyBatch(const store_batch& batch);
 
+    /// Reads an order again whose revision the store did not accept.
+    void refreshVersionOrder(const service_id& service);
+
     /// @return the store position up to which each kind has been read
     std::vector<kind_position> positions() const;
 
--- a/src/flamingoroute/runtime/serving_node.cpp
+++ b/src/flamingoroute/runtime/serving_node.cpp
@@ -244,9 +244,13 @@
             .with("other_broken", evidence.otherBroken)
             .with("revision", toString(order.revision));
         m_store.putStatus(m_port.versionOrderKind, order.service.value(), m_port.encodeVersionOrderStatus(order),
-            order.revision, [](const auto& written) {
-                if (!written)
-                    event_line(log_level::info, "version_order.not_written").with(written.error());
+            order.revision, [this, service = order.service](const auto& written) {
+                if (written)
+                    return;
+                event_line(log_level::info, "version_order.not_written").with(written.error());
+                // After a restoration of the store, an order that did not change has another revision.
+                if (written.error().code == error_code::conflict)
+                    m_watch.refreshVersionOrder(service);
             });
     }
 }
--- a/tests/unit/moves/version_gate_test.cpp
+++ b/tests/unit/moves/version_gate_test.cpp
@@ -165,6 +165,45 @@
     EXPECT_TRUE(gate.dueStates(0, at(60'000)).empty());
 }
 
+TEST(version_gate, keeps_a_decision_that_a_restored_store_has_forgotten_and_writes_it_again)
+{
+    for (const auto state : { version_order_state::rolled_back, version_order_state::completed }) {
+        auto gate = gateWithOrder();
+        auto order = orderOf();
+        order.state = state;
+        order.revision = { 30, 1 };
+        gate.recordOrder(order, at(6000));
+        auto forgotten = orderOf();
+        forgotten.revision = { 12, 2 };
+        gate.recordOrder(forgotten, at(7000));
+        forgotten.revision = { 14, 2 };
+        gate.recordOrder(forgotten, at(7100));
+        const bool isRolledBack = state == version_order_state::rolled_back;
+        EXPECT_EQ(gate.filterFor(service, 1, at(7200)).excluded.contains(newVersion), isRolledBack);
+        EXPECT_EQ(gate.filterFor(service, 1, at(7200)).preferred == newVersion, !isRolledBack);
+        const auto due = gate.dueStates(0, at(7200));
+        ASSERT_EQ(due.size(), 1U);
+        EXPECT_EQ(due.front().state, state);
+        EXPECT_EQ(due.front().revision, forgotten.revision);
+        order.revision = { 16, 2 };
+        gate.recordOrder(order, at(7300));
+        EXPECT_TRUE(gate.dueStates(0, at(60'000)).empty());
+    }
+}
+
+TEST(version_gate, runs_an_order_again_that_was_deleted_and_given_once_more)
+{
+    auto gate = gateWithOrder();
+    auto order = orderOf();
+    order.state = version_order_state::rolled_back;
+    order.revision = { 30, 1 };
+    gate.recordOrder(order, at(6000));
+    order.state = version_order_state::running;
+    order.revision = { 40, 1 };
+    gate.recordOrder(order, at(7000));
+    EXPECT_EQ(gate.dueStates(0, at(7000)).size(), 0U);
+}
+
 TEST(version_gate, uses_the_order_age_of_other_instances_after_a_restart)
 {
     version_gate gate(exposureShare, exposureSlack);
