Wait for a whole term before taking a lease that the store has lost

What could happen: two instances hold the same duty for up to a term. A candidate that found no lease object took it at once; after a restoration from before the lease was written, its holder may still act.

Change: a lease object is never deleted, so one that was read before and is missing was lost; other candidates wait for the rest of a term.

--- a/src/flamingoroute/store/lease_machine.cpp
+++ b/src/flamingoroute/store/lease_machine.cpp
@@ -14,6 +14,8 @@
 
 bool lease_machine::isAcquirable(monotonic_time now) const
 {
+    if (m_version == 0 && m_lostUntil)
+        return now >= *m_lostUntil;
     if (m_version == 0 || m_seen.isReleased || isLocalHolder(m_seen))
         return true;
     const bool isEarlierIncarnation
@@ -59,6 +61,9 @@
     if (!record)
         return;
     const object_version version = answer ? answer->version : 0;
+    const bool isLost = version == 0 && m_version != 0 && !m_seen.isReleased && !isLocalHolder(m_seen);
+    if (isLost)
+        m_lostUntil = now + m_seen.duration + m_settings.drift;
     if (!m_isSeen || version != m_version)
         m_firstSeen = now;
     m_isSeen = true;
--- a/src/flamingoroute/store/lease_machine.hpp
+++ b/src/flamingoroute/store/lease_machine.hpp
@@ -15,7 +15,8 @@
 
 /// Decides when to acquire, renew and release a lease. Only the monotonic clock is used, and clocks of different
 /// processes are never compared: the holder counts its term from before its request, less drift; a contender waits for
-/// the whole term, plus drift, from when it first read the object at its current version.
+/// the whole term, plus drift, from when it first read the object at its current version. A lease object is never
+/// deleted: one that was read before and is missing was lost by the platform, and its holder may still act for a term.
 class lease_machine {
 public:
     explicit lease_machine(lease_settings settings);
@@ -63,6 +64,7 @@
     object_version m_version = 0; ///< zero: there is no object
     lease_record m_seen;
     monotonic_time m_firstSeen;
+    std::optional<monotonic_time> m_lostUntil; ///< while the holder of a lost lease object may still act
     monotonic_time m_nextCall;
     monotonic_time m_heldUntil;
     object_version m_epoch = 0;
--- a/tests/unit/duties/duty_lease_test.cpp
+++ b/tests/unit/duties/duty_lease_test.cpp
@@ -83,6 +83,18 @@
     EXPECT_EQ(m_second.token(), 0U);
 }
 
+// Another instance took a lease at once that a restored store had lost, while its holder went on for the rest of a
+// term.
+TEST_F(duty_lease_test, has_one_holder_after_a_restored_store_has_lost_the_lease)
+{
+    for (int i = 0; i < 20; ++i) {
+        run(milliseconds(4000 + 300 * i), true, true);
+        m_object.version = 0;
+    }
+    run(seconds(7), true, true);
+    EXPECT_TRUE(m_first.token() != 0 || m_second.token() != 0);
+}
+
 TEST_F(duty_lease_test, is_taken_over_a_term_after_a_malformed_object_was_read)
 {
     m_object.value = R"({"holder":7})";
