Keep windows that were reported when a restored store has forgotten them

What could happen: a holder read a ledger from before the restoration, recorded windows again that it had reported, and reported other counts for them in its next term.

Change: windows recorded by this process are added to a ledger that lacks them. The new test failed before.

--- a/src/flamingoroute/duties/usage_reporter.cpp
+++ b/src/flamingoroute/duties/usage_reporter.cpp
@@ -2,6 +2,8 @@
 
 #include "flamingoroute/report/event_log.hpp"
 
+#include <utility>
+
 namespace flamingoroute {
 
 namespace {
@@ -77,13 +79,18 @@
 
 void usage_reporter::adopt(const usage_ledger& ledger, object_version version)
 {
-    m_ledger = ledger;
+    const auto recordedHere = std::exchange(m_ledger, ledger);
+    // A restored store may have forgotten windows that were reported already.
+    if (ledger.lastWindow < recordedHere.lastWindow) {
+        m_ledger.lastWindow = recordedHere.lastWindow;
+        m_ledger.open.insert(recordedHere.open.begin(), recordedHere.open.end());
+    }
     m_version = version;
     m_isRead = true;
     event_line(log_level::info, "usage.ledger_read")
         .with("token", m_token)
-        .with("last_window", ledger.lastWindow)
-        .with("open", ledger.open.size());
+        .with("last_window", m_ledger.lastWindow)
+        .with("open", m_ledger.open.size());
 }
 
 usage_ledger usage_reporter::emptyLedger(monotonic_time now) const
--- a/tests/unit/duties/usage_reporter_test.cpp
+++ b/tests/unit/duties/usage_reporter_test.cpp
@@ -133,6 +133,23 @@
     EXPECT_EQ(m_platform.accepted.at(200).at("anna"), 10U);
 }
 
+// A restored store's ledger lacked windows that had been reported, and they were recorded once more with other counts.
+TEST_F(usage_reporter_test, reports_no_window_again_that_a_restored_store_has_forgotten)
+{
+    m_first.token = 7;
+    run(seconds(9));
+    const auto copy = m_ledger.value;
+    run(seconds(5));
+    ASSERT_EQ(m_platform.accepted.size(), 2U);
+    m_ledger.value = copy;
+    ++m_ledger.version;
+    m_first.token = 8;
+    m_first.requests = 99;
+    run(seconds(5));
+    EXPECT_EQ(m_platform.accepted.size(), 3U);
+    EXPECT_EQ(m_platform.accepted.at(201).at("anna"), 10U);
+}
+
 TEST_F(usage_reporter_test, reports_in_time_after_the_store_was_down_over_the_end_of_a_window)
 {
     m_first.token = 7;
