Leave instances that reach no upstream out of the look-ups

Cause: readiness and look-ups depended on the store alone, and failed attempts were blamed on single upstreams.

Reports and digests say who reaches upstreams; look-ups name the others only if there is nobody else. What it recorded about upstreams meanwhile, and the evidence against versions, is forgotten.

--- a/src/flamingoroute/fleet/fleet_members.cpp
+++ b/src/flamingoroute/fleet/fleet_members.cpp
@@ -106,6 +106,7 @@
     entry.report = report;
     sortByCustomer(entry.report.demand);
     entry.lastReportAt = now;
+    entry.reachesUpstreams = report.reachesUpstreams;
     setReportedReady(entry, report.isReady && !report.isLeaving, now);
 }
 
@@ -301,10 +302,10 @@
 
 std::vector<member_readiness> fleet_members::memberReadiness(monotonic_time now) const
 {
-    std::vector<member_readiness> result { { m_self.instance.value(), m_isSelfReady } };
+    std::vector<member_readiness> result { { m_self.instance.value(), m_isSelfReady, m_selfReachesUpstreams } };
     for (const auto& [name, entry] : m_others) {
         if (isReporting(entry, now))
-            result.push_back({ name.value(), entry.report.isReady && !entry.report.isLeaving });
+            result.push_back({ name.value(), entry.report.isReady && !entry.report.isLeaving, entry.reachesUpstreams });
     }
     return result;
 }
@@ -318,6 +319,7 @@
         if (known == m_others.end())
             continue;
         setReportedReady(known->second, readiness.isReady, now);
+        known->second.reachesUpstreams = readiness.reachesUpstreams;
     }
     return true;
 }
@@ -401,16 +403,24 @@
     return view;
 }
 
-std::vector<member> fleet_members::nearestReady(
-    const failure_domain_id& domain, const region_id& region, monotonic_time now) const
+std::vector<const member*> fleet_members::readyMembers(bool isReachRequired, monotonic_time now) const
 {
     std::vector<const member*> ready;
-    if (m_isSelfReady)
+    if (m_isSelfReady && (m_selfReachesUpstreams || !isReachRequired))
         ready.push_back(&m_self);
     for (const auto& [name, entry] : m_others) {
-        if (entry.isReportedReady && isFresh(entry, now))
+        if (entry.isReportedReady && isFresh(entry, now) && (entry.reachesUpstreams || !isReachRequired))
             ready.push_back(&entry.memberInfo);
     }
+    return ready;
+}
+
+std::vector<member> fleet_members::nearestReady(
+    const failure_domain_id& domain, const region_id& region, monotonic_time now) const
+{
+    auto ready = readyMembers(true, now);
+    if (ready.empty())
+        ready = readyMembers(false, now);
     const auto copyOf = [&](auto isNear) {
         std::vector<member> near;
         for (const auto* which : ready) {
--- a/src/flamingoroute/fleet/fleet_members.hpp
+++ b/src/flamingoroute/fleet/fleet_members.hpp
@@ -43,6 +43,9 @@
     void setSelfReady(bool isReady);
     bool isSelfReady() const { return m_isSelfReady; }
 
+    void setSelfReachesUpstreams(bool reaches) { m_selfReachesUpstreams = reaches; }
+    bool selfReachesUpstreams() const { return m_selfReachesUpstreams; }
+
     /// @return the number of known instances, reachable or not, including this one
     std::size_t size() const { return m_others.size() + 1; }
 
@@ -100,7 +103,8 @@
     /// @return the demand of a customer as reported by this instance and the others
     demand_view demandFor(const customer_id& customer, monotonic_time now) const;
 
-    /// @return the ready instances of the failure domain; if there are none, of the region; else all ready ones
+    /// @return the ready instances of the failure domain; if there are none, of the region; else all ready ones. Those
+    ///         that are partitioned from all upstreams count as not ready while there are others.
     std::vector<member> nearestReady(
         const failure_domain_id& domain, const region_id& region, monotonic_time now) const;
 
@@ -117,6 +121,7 @@
         monotonic_time lastReportAt = monotonic_time::min(); ///< last report of its own
         monotonic_time knownSince;
         bool isReportedReady = false; ///< accepts callers, by its own report or a relay digest
+        bool reachesUpstreams = true; ///< by its own report or a relay digest
     };
 
     other_member& entryOf(const member& memberInfo, monotonic_time now);
@@ -124,6 +129,7 @@
     void setReportedReady(other_member& entry, bool isReady, monotonic_time now);
     bool isFresh(const other_member& other, monotonic_time now) const;
     bool isReporting(const other_member& other, monotonic_time now) const;
+    std::vector<const member*> readyMembers(bool isReachRequired, monotonic_time now) const;
     forward_receiver receiverFrom(const other_member& other, monotonic_time now) const;
     bool isLost(const other_member& other, monotonic_time now) const;
     microseconds freshnessLimit() const;
@@ -137,6 +143,7 @@
     demand_history m_localDemands;
     digest_cache m_digests;
     bool m_isSelfReady = false;
+    bool m_selfReachesUpstreams = true;
     std::map<instance_id, other_member> m_others;
     region_index m_regions;
     mutable std::optional<relay_choice> m_relayChoice; ///< empty after a change of the candidates
--- a/src/flamingoroute/fleet/fleet_report.hpp
+++ b/src/flamingoroute/fleet/fleet_report.hpp
@@ -26,10 +26,11 @@
     std::vector<customer_demand> demand;
     std::vector<version_tally> tallies;
     std::vector<upstream_load> loads; ///< that answers reported since the last report
+    bool reachesUpstreams = true; ///< is not partitioned from all upstreams
 
     bool operator==(const fleet_report&) const = default;
     MSGPACK_DEFINE(instance, failureDomain, region, callerAddress, peerAddress, isReady, isLeaving, hasFullWindow,
-        isUrgent, demand, tallies, loads)
+        isUrgent, demand, tallies, loads, reachesUpstreams)
 };
 
 } // namespace flamingoroute
--- a/src/flamingoroute/fleet/member_readiness.hpp
+++ b/src/flamingoroute/fleet/member_readiness.hpp
@@ -11,9 +11,10 @@
 struct member_readiness {
     std::string instance;
     bool isReady = false; ///< accepts callers
+    bool reachesUpstreams = true; ///< is not partitioned from all upstreams
 
     bool operator==(const member_readiness&) const = default;
-    MSGPACK_DEFINE(instance, isReady)
+    MSGPACK_DEFINE(instance, isReady, reachesUpstreams)
 };
 
 } // namespace flamingoroute
--- a/src/flamingoroute/placement/upstream_directory.cpp
+++ b/src/flamingoroute/placement/upstream_directory.cpp
@@ -286,11 +286,27 @@
         upstream.lastAnswerAt = now;
         return;
     }
-    ++upstream.consecutiveFailures;
+    if (upstream.consecutiveFailures++ == 0)
+        upstream.coldUntilBeforeFailures = upstream.coldUntil;
+    upstream.lastFailureAt = now;
     const bool isUnreachable = report.verdict == attempt_verdict::unreachable;
     if (isUnreachable || upstream.consecutiveFailures >= failuresBeforeBackOff) {
         upstream.backOffUntil = now + backOffAfter(upstream.consecutiveFailures);
-        upstream.coldUntil = std::max(upstream.coldUntil, upstream.backOffUntil + microseconds(coldTime));
+        upstream.coldUntilByFailures = upstream.backOffUntil + microseconds(coldTime);
+        upstream.coldUntil = std::max(upstream.coldUntil, upstream.coldUntilByFailures);
+    }
+}
+
+void upstream_directory::forgetFailuresSince(monotonic_time since)
+{
+    for (auto& [name, upstream] : m_upstreams) {
+        if (upstream.consecutiveFailures == 0 || upstream.lastFailureAt < since)
+            continue;
+        upstream.consecutiveFailures = 0;
+        upstream.failureShare = 0;
+        upstream.backOffUntil = {};
+        if (upstream.coldUntil == upstream.coldUntilByFailures)
+            upstream.coldUntil = upstream.coldUntilBeforeFailures;
     }
 }
 
--- a/src/flamingoroute/placement/upstream_directory.hpp
+++ b/src/flamingoroute/placement/upstream_directory.hpp
@@ -47,6 +47,10 @@
     /// @param coldTime of the service: how long an upstream counts as cold after a back-off
     void recordResult(const upstream_id& name, const attempt_report& report, milliseconds coldTime, monotonic_time now);
 
+    /// Forgets the attempts without an answer since @p since: this instance reached no upstream, so they say nothing
+    /// about one.
+    void forgetFailuresSince(monotonic_time since);
+
     /// Records that an answer of the upstream said that it is leaving.
     /// @param startedAtMs the start of the process that answered; an answer of an earlier process is ignored
     /// @return whether this is the first such answer
--- a/src/flamingoroute/placement/upstream_state.hpp
+++ b/src/flamingoroute/placement/upstream_state.hpp
@@ -15,6 +15,9 @@
     registered_upstream registration;
     std::uint64_t nameHash = 0; ///< hash64 of the registered name
     region_id region;
+    monotonic_time lastFailureAt; ///< of an attempt without an answer
+    monotonic_time coldUntilBeforeFailures; ///< coldUntil when the attempts since the last answer began to fail
+    monotonic_time coldUntilByFailures; ///< to which those attempts set coldUntil
     int inFlight = 0; ///< requests of this instance without a result yet
     in_flight_history ownRequests; ///< inFlight at earlier times
     double othersLoad = 0; ///< requests of other instances, running or waiting, as of loadReportedAt
--- a/src/flamingoroute/runtime/fleet_gossip.cpp
+++ b/src/flamingoroute/runtime/fleet_gossip.cpp
@@ -112,6 +112,7 @@
     report.peerAddress = toString(self.entryAddress);
     report.isReady = m_state.members.isSelfReady();
     report.isLeaving = m_state.isLeaving;
+    report.reachesUpstreams = m_state.members.selfReachesUpstreams();
     report.hasFullWindow = m_state.rates.hasFullWindow(monotonicNow());
     for (const auto& [customer, usage] : m_state.rates.usage(monotonicNow())) {
         if (usage.demand >= minReportedDemand || usage.admitted > 0)
--- a/src/flamingoroute/runtime/serving_node.cpp
+++ b/src/flamingoroute/runtime/serving_node.cpp
@@ -75,6 +75,7 @@
               [this](const envelope& message) { m_usage.receive(message); } })
     , m_usage(m_state, store, m_port,
           [this](const endpoint& to, message_kind kind, const std::string& body) { m_gossip.send(to, kind, body); })
+    , m_linkCheck(m_state, [this] { onLinkChange(); })
     , m_callers(
           loop, [this](auto exchange) { serve(std::move(exchange)); },
           [this] { return m_state.table ? m_state.table->configuration().limits : caller_limits {}; },
@@ -194,9 +195,20 @@
     updateReadiness();
     writeDueOrders();
     removeLostMembers();
+    m_linkCheck.tick(monotonicNow());
     m_usage.tick();
 }
 
+void serving_node::onLinkChange()
+{
+    const bool isPartitioned = m_state.link.isPartitioned();
+    m_state.members.setSelfReachesUpstreams(!isPartitioned);
+    m_gossip.report(true);
+    if (isPartitioned)
+        m_failingSince = m_state.link.lastReachedAt();
+    m_state.upstreams.forgetFailuresSince(m_failingSince);
+}
+
 void serving_node::updateReadiness()
 {
     const bool isReady = m_watch.isComplete() && !m_state.isLeaving;
--- a/src/flamingoroute/runtime/serving_node.hpp
+++ b/src/flamingoroute/runtime/serving_node.hpp
@@ -8,6 +8,7 @@
 #include "flamingoroute/runtime/fleet_watch.hpp"
 #include "flamingoroute/runtime/usage_duty.hpp"
 #include "flamingoroute/serving/serving_state.hpp"
+#include "flamingoroute/serving/upstream_link_check.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -53,6 +54,8 @@
     void writeDueOrders();
     void removeLostMembers();
 
+    void onLinkChange();
+
     void serve(std::shared_ptr<caller_exchange> exchange);
     void answerLookup(const caller_exchange& exchange) const;
     void answerReadiness(const caller_exchange& exchange) const;
@@ -73,6 +76,8 @@
     fleet_watch m_watch;
     fleet_gossip m_gossip;
     usage_duty m_usage;
+    upstream_link_check m_linkCheck;
+    monotonic_time m_failingSince; ///< no upstream has been reached since, before or during the last partition
     http_listener m_callers;
     http_listener m_readiness;
     http_listener m_lookups;
--- a/src/flamingoroute/serving/attempt_recorder.cpp
+++ b/src/flamingoroute/serving/attempt_recorder.cpp
@@ -35,6 +35,7 @@
 
 void attempt_recorder::recordResult(const exchange_result& result, const upstream_answer& interpretation) const
 {
+    recordLink(result);
     updateEstimates(result, interpretation);
     if (isDefinitelyNotRun(interpretation.outcome))
         takeBackUsage();
@@ -45,6 +46,20 @@
         recordLeaving();
 }
 
+void attempt_recorder::recordLink(const exchange_result& result) const
+{
+    auto& link = m_state.link;
+    link.recordAttemptEnd();
+    if (result.connectTime > microseconds(0))
+        link.recordConnected(monotonicNow());
+    if (result.outcome == attempt_outcome::answered)
+        link.recordAnswer(monotonicNow());
+    else if (result.isConnectFailure)
+        link.recordUnreachable(m_sent.upstream.name);
+    else if (result.wasConnectionLost)
+        link.recordLost(m_sent.upstream.name);
+}
+
 void attempt_recorder::takeBackUsage() const
 {
     if (m_request.customer != nullptr)
@@ -61,6 +76,7 @@
 
 void attempt_recorder::recordCancelled(attempt_verdict verdict, bool hasSent) const
 {
+    m_state.link.recordAttemptEnd();
     // An upstream drops a waiting request whose connection closes.
     if (!hasSent || m_sent.startsAt > monotonicNow())
         takeBackUsage();
@@ -185,6 +201,10 @@
 
 void attempt_recorder::recordVersionSample(const attempt_evidence& evidence) const
 {
+    const bool hasNoAnswer = evidence.verdict == attempt_verdict::broken
+        || evidence.verdict == attempt_verdict::unreachable || evidence.verdict == attempt_verdict::timed_out;
+    if (hasNoAnswer && m_state.link.isSuspect())
+        return;
     const auto sample = versionSampleOf(evidence);
     const bool isAgainstVersion = sample
         && m_state.versions.recordAttempt(
--- a/src/flamingoroute/serving/attempt_recorder.hpp
+++ b/src/flamingoroute/serving/attempt_recorder.hpp
@@ -29,6 +29,7 @@
     void recordCancelled(attempt_verdict verdict, bool hasSent) const;
 
 private:
+    void recordLink(const exchange_result& result) const;
     attempt_report reportOf(const exchange_result& result, const upstream_answer& interpretation) const;
     /// Takes the attempt out of the usage counts: its upstream did not run it.
     void takeBackUsage() const;
--- a/src/flamingoroute/serving/request_flow.cpp
+++ b/src/flamingoroute/serving/request_flow.cpp
@@ -148,6 +148,7 @@
     if (m_mayHaveRun && m_request.customer != nullptr)
         m_state.rates.recordExtraAttempt(*m_request.customer, now);
     m_state.upstreams.recordSent(chosen.upstream, now);
+    m_state.link.recordAttemptBegin(now);
     if (upstream->requestLimit)
         m_state.upstreams.takeLimitShare(chosen.upstream, limitShareFor(m_state, *upstream), now);
     if (chosen.isCold)
--- a/src/flamingoroute/serving/serving_metrics.cpp
+++ b/src/flamingoroute/serving/serving_metrics.cpp
@@ -15,6 +15,8 @@
         text.counter("flamingo_rejections_total", "Requests answered before they were complete.",
             { { "status", std::to_string(status) } }, count);
     text.counter("flamingo_retries_total", "Retried attempts.", {}, state.counters.retries);
+    text.gauge("flamingo_upstreams_partitioned", "Whether this instance reaches no upstream.", {},
+        state.link.isPartitioned() ? 1 : 0);
     text.counter(
         "flamingo_upstream_connections_total", "Connections opened to upstreams.", {}, state.connections.openedCount());
     text.gauge(
--- a/src/flamingoroute/serving/serving_state.hpp
+++ b/src/flamingoroute/serving/serving_state.hpp
@@ -20,6 +20,7 @@
 #include "flamingoroute/serving/service_times.hpp"
 #include "flamingoroute/serving/serving_counters.hpp"
 #include "flamingoroute/serving/upstream_connection_pool.hpp"
+#include "flamingoroute/serving/upstream_link.hpp"
 #include "flamingoroute/settings/node_settings.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -81,6 +82,7 @@
     recent_objects objects;
     path_delays paths;
     usage_counter usage;
+    upstream_link link;
     upstream_connection_pool connections;
     std::shared_ptr<body_budget> bodies;
     serving_counters counters;
--- a/tests/unit/fleet/fleet_members_test.cpp
+++ b/tests/unit/fleet/fleet_members_test.cpp
@@ -88,4 +88,24 @@
     EXPECT_EQ(members.size(), 1U);
 }
 
+// RECOVER: look-ups went on to name instances that were partitioned from all upstreams.
+TEST(fleet_members, names_no_instance_that_reaches_no_upstream_while_there_are_others)
+{
+    fleet_members members(self);
+    members.setSelfReady(true);
+    const auto report = [&](const member& which, bool reachesUpstreams) {
+        auto next = reportOf(which, true);
+        next.reachesUpstreams = reachesUpstreams;
+        members.recordReport(next, at(0));
+    };
+    const auto near = [&] { return members.nearestReady(self.failureDomain, self.region, at(0)); };
+    report(sameDomain, false);
+    report(sameRegion, true);
+    EXPECT_EQ(near(), std::vector<member> { self });
+    members.setSelfReachesUpstreams(false);
+    EXPECT_EQ(near(), std::vector<member> { sameRegion });
+    report(sameRegion, false);
+    EXPECT_EQ(near().size(), 2U) << "nobody is better";
+}
+
 } // namespace flamingoroute
--- a/tests/unit/placement/upstream_directory_test.cpp
+++ b/tests/unit/placement/upstream_directory_test.cpp
@@ -302,4 +302,18 @@
     EXPECT_TRUE(directory.isEligible(*directory.find(name)));
 }
 
+// RECOVER: after a partition an instance went on to back off from upstreams, and to treat them as cold.
+TEST(upstream_directory, forgets_failures_that_were_those_of_this_instances_links)
+{
+    auto directory = directoryWithOne();
+    directory.recordResult(name, reportOf(attempt_verdict::unreachable), coldTime, at(10));
+    directory.forgetFailuresSince(at(20));
+    EXPECT_GT(directory.find(name)->backOffUntil, at(20)) << "an older failure is the upstream's own";
+    directory.recordResult(name, reportOf(attempt_verdict::unreachable), coldTime, at(30));
+    directory.forgetFailuresSince(at(5));
+    EXPECT_LE(directory.find(name)->backOffUntil, at(30));
+    EXPECT_LE(directory.find(name)->coldUntil, at(30));
+    EXPECT_EQ(currentFailureShare(*directory.find(name), at(30)), 0);
+}
+
 } // namespace flamingoroute
