Forward requests to another instance while no upstream can be reached

Cause: the request had no way to an upstream but the links of the instance that it arrived at.

Change: a partitioned instance sends the request, with its key and what is left of its time and attempts, to an instance that reaches upstreams, on an address of its own beside the one for messages; that one handles it like a request of its own callers (rate, choice of an upstream, retries) and never forwards it again. One that is partitioned, too, says that it did not run, and another is asked, three at most. A body does not leave its home regions. Requests that wait for an upstream when the partition is noticed are moved if they may be retried. If nobody reaches an upstream, the request is refused at once. The cost falls only on requests at partitioned instances: one more hop each, no messages otherwise.

--- a/src/flamingoroute/fleet/fleet_members.cpp
+++ b/src/flamingoroute/fleet/fleet_members.cpp
@@ -102,6 +102,7 @@
         return;
     auto& entry = entryOf(*sender, now);
     sender->linkMbps = entry.memberInfo.linkMbps;
+    sender->forwardAddress = entry.memberInfo.forwardAddress;
     setMemberInfo(entry, *sender);
     entry.report = report;
     sortByCustomer(entry.report.demand);
@@ -415,6 +416,20 @@
     return ready;
 }
 
+std::vector<member> fleet_members::forwardingPeers(monotonic_time now) const
+{
+    std::vector<member> local;
+    std::vector<member> all;
+    for (const auto* peer : readyMembers(true, now)) {
+        if (peer == &m_self || peer->forwardAddress.port == 0)
+            continue;
+        all.push_back(*peer);
+        if (peer->region == m_self.region)
+            local.push_back(*peer);
+    }
+    return local.empty() ? all : local;
+}
+
 std::vector<member> fleet_members::nearestReady(
     const failure_domain_id& domain, const region_id& region, monotonic_time now) const
 {
--- a/src/flamingoroute/model/member.hpp
+++ b/src/flamingoroute/model/member.hpp
@@ -14,6 +14,7 @@
     endpoint callerAddress; ///< HTTP, for callers
     endpoint entryAddress; ///< nng, the entry process
     endpoint controlAddress; ///< nng, the control process
+    endpoint forwardAddress {}; ///< HTTP, for requests that other instances forward; port 0: none
     int linkMbps = 0; ///< capacity of its network link; 0: unknown
 
     auto operator<=>(const member&) const = default;
--- a/src/flamingoroute/runtime/serving_node.cpp
+++ b/src/flamingoroute/runtime/serving_node.cpp
@@ -49,6 +49,7 @@
     self.region = settings.region;
     self.callerAddress = settings.callerAddress;
     self.entryAddress = settings.peerAddress;
+    self.forwardAddress = settings.forwardAddress;
     self.linkMbps = settings.linkMbps;
     return self;
 }
@@ -77,9 +78,11 @@
           [this](const endpoint& to, message_kind kind, const std::string& body) { m_gossip.send(to, kind, body); })
     , m_linkCheck(m_state, [this] { onLinkChange(); })
     , m_callers(
-          loop, [this](auto exchange) { serve(std::move(exchange)); },
-          [this] { return m_state.table ? m_state.table->configuration().limits : caller_limits {}; },
-          makeBodyPolicy(m_state))
+          loop, [this](auto exchange) { serve(std::move(exchange), request_origin::caller); },
+          [this] { return callerLimits(); }, makeBodyPolicy(m_state))
+    , m_forwards(
+          loop, [this](auto exchange) { serve(std::move(exchange), request_origin::instance); },
+          [this] { return callerLimits(); }, makeBodyPolicy(m_state))
     , m_readiness(
           loop, [this](auto exchange) { answerReadiness(*exchange); }, sideLimits)
     , m_lookups(
@@ -105,6 +108,11 @@
             return m_lookups.listen(settings.lookupAddress, callerConnections / 2);
         },
         [this, &settings, callerConnections] { return m_callers.listen(settings.callerAddress, callerConnections); },
+        [this, &settings, callerConnections] {
+            return settings.forwardAddress.port == 0
+                ? tl::expected<void, error> {}
+                : m_forwards.listen(settings.forwardAddress, callerConnections / 4);
+        },
         [this] {
             startServing();
             return tl::expected<void, error> {};
@@ -207,6 +215,18 @@
     if (isPartitioned)
         m_failingSince = m_state.link.lastReachedAt();
     m_state.upstreams.forgetFailuresSince(m_failingSince);
+    if (!isPartitioned)
+        return;
+    const auto flows = m_state.openRequests;
+    for (const auto& weak : flows) {
+        if (const auto flow = weak.second.lock())
+            flow->onPartition();
+    }
+}
+
+caller_limits serving_node::callerLimits() const
+{
+    return m_state.table ? m_state.table->configuration().limits : caller_limits {};
 }
 
 void serving_node::updateReadiness()
@@ -281,9 +301,9 @@
     }
 }
 
-void serving_node::serve(std::shared_ptr<caller_exchange> exchange)
+void serving_node::serve(std::shared_ptr<caller_exchange> exchange, request_origin origin)
 {
-    std::make_shared<request_flow>(m_state, std::move(exchange))->start();
+    std::make_shared<request_flow>(m_state, std::move(exchange), origin)->start();
 }
 
 void serving_node::answerLookup(const caller_exchange& exchange) const
@@ -367,10 +387,12 @@
     if (passed >= std::min<microseconds>(minLeaveTime, fractionOf(grace, acceptFraction))) {
         m_callers.stopAccepting();
         m_callers.drainConnections();
+        m_forwards.stopAccepting();
+        m_forwards.drainConnections();
     }
     if (passed >= fractionOf(grace, finishFraction))
         endRequests();
-    const bool isDone = passed >= minLeaveTime && !m_callers.isBusy();
+    const bool isDone = passed >= minLeaveTime && !isBusy();
     if (isDone || passed >= fractionOf(grace, endFraction)) {
         unregisterAndEnd();
         return;
@@ -406,7 +428,7 @@
 
 void serving_node::end()
 {
-    event_line(log_level::info, "node.ended").with("busy", m_callers.isBusy() ? 1 : 0);
+    event_line(log_level::info, "node.ended").with("busy", isBusy() ? 1 : 0);
     m_watch.stop();
     m_loop.stop();
 }
--- a/src/flamingoroute/runtime/serving_node.hpp
+++ b/src/flamingoroute/runtime/serving_node.hpp
@@ -7,6 +7,7 @@
 #include "flamingoroute/runtime/fleet_port.hpp"
 #include "flamingoroute/runtime/fleet_watch.hpp"
 #include "flamingoroute/runtime/usage_duty.hpp"
+#include "flamingoroute/serving/request_flow.hpp"
 #include "flamingoroute/serving/serving_state.hpp"
 #include "flamingoroute/serving/upstream_link_check.hpp"
 
@@ -55,8 +56,10 @@
     void removeLostMembers();
 
     void onLinkChange();
+    caller_limits callerLimits() const;
+    bool isBusy() const { return m_callers.isBusy() || m_forwards.isBusy(); }
 
-    void serve(std::shared_ptr<caller_exchange> exchange);
+    void serve(std::shared_ptr<caller_exchange> exchange, request_origin origin);
     void answerLookup(const caller_exchange& exchange) const;
     void answerReadiness(const caller_exchange& exchange) const;
     void answerMetrics(const caller_exchange& exchange) const;
@@ -79,6 +82,7 @@
     upstream_link_check m_linkCheck;
     monotonic_time m_failingSince; ///< no upstream has been reached since, before or during the last partition
     http_listener m_callers;
+    http_listener m_forwards; ///< of requests that other instances forward
     http_listener m_readiness;
     http_listener m_lookups;
     http_listener m_metrics;
--- a/src/flamingoroute/serving/request_admission.cpp
+++ b/src/flamingoroute/serving/request_admission.cpp
@@ -79,6 +79,15 @@
     return std::nullopt;
 }
 
+std::optional<local_refusal> request_admission::admitForwarded(
+    const caller_exchange& exchange, admitted_request& admitted) const
+{
+    if (const auto refusal = admitHead(exchange, admitted))
+        return refusal;
+    fillQuery(exchange, admitted);
+    return std::nullopt;
+}
+
 std::optional<local_refusal> request_admission::admitHead(
     const caller_exchange& exchange, admitted_request& admitted) const
 {
--- a/src/flamingoroute/serving/request_admission.hpp
+++ b/src/flamingoroute/serving/request_admission.hpp
@@ -21,6 +21,10 @@
     /// @return the refusal; empty if the request may run
     std::optional<local_refusal> admit(const caller_exchange& exchange, admitted_request& admitted) const;
 
+    /// Checks a request that another instance will send to an upstream: all but quarantine and rate, which count there.
+    /// @return as admit()
+    std::optional<local_refusal> admitForwarded(const caller_exchange& exchange, admitted_request& admitted) const;
+
     /// Checks what the head alone decides: form, rule, key and deadline. Counts nothing.
     /// @param exchange its body may still be on its way
     /// @return the refusal; empty if the body is worth reading
--- a/src/flamingoroute/serving/request_flow.cpp
+++ b/src/flamingoroute/serving/request_flow.cpp
@@ -3,9 +3,11 @@
 #include "flamingoroute/proxy/client_connection.hpp"
 #include "flamingoroute/report/event_log.hpp"
 #include "flamingoroute/requests/header_rules.hpp"
+#include "flamingoroute/serving/attempt_limits.hpp"
 #include "flamingoroute/serving/attempt_recorder.hpp"
 #include "flamingoroute/serving/local_answer.hpp"
 #include "flamingoroute/serving/near_instances.hpp"
+#include "flamingoroute/serving/peer_attempt.hpp"
 #include "flamingoroute/serving/request_admission.hpp"
 #include "flamingoroute/serving/serving_state.hpp"
 #include "flamingoroute/serving/upstream_answer.hpp"
@@ -24,24 +26,20 @@
 constexpr milliseconds maxIdleTime { 8000 };
 /// Upstreams tried for one request, including unreachable ones.
 constexpr int maxTries = 5;
-/// No attempt is started with less time left than this.
-constexpr microseconds minAttemptTime { 20'000 };
 /// An upstream without any answer for longer than this multiple of the expected time counts as unresponsive.
 constexpr int unresponsiveFactor = 3;
 constexpr milliseconds unresponsiveCheckInterval { 200 };
-constexpr milliseconds retryAfterWithoutUpstream { 300 };
 /// One in this many requests answered at the first try is logged at info level, the others at debug level. The sample
 /// depends on the request id, so it is the same on each run.
 constexpr std::uint64_t plainAnswersPerLogLine = 16;
 
-const local_refusal outcomeUnknown { 502, "upstream_outcome_unknown" };
-
 } // namespace
 
-request_flow::request_flow(serving_state& state, std::shared_ptr<caller_exchange> exchange)
+request_flow::request_flow(serving_state& state, std::shared_ptr<caller_exchange> exchange, request_origin origin)
     : m_state(state)
     , m_exchange(std::move(exchange))
     , m_timer(state.loop)
+    , m_origin(origin)
 {
 }
 
@@ -77,15 +75,37 @@
         if (const auto self = weak.lock())
             self->onDisconnect();
     };
-    if (const auto refusal = request_admission(m_state).admit(*m_exchange, m_request)) {
+    const bool isPartitioned = m_state.link.isPartitioned();
+    if (isPartitioned && m_origin == request_origin::instance) {
+        finish(notForwardedAnswer(), "not_forwarded");
+        return;
+    }
+    if (const auto refusal = admit()) {
         refuse(*refusal);
         return;
     }
-    m_state.retries.recordRequest(m_request.query.service, m_state.members.size());
     armTimer();
+    if (isPartitioned) {
+        forward();
+        return;
+    }
+    m_state.retries.recordRequest(m_request.query.service, m_state.members.size());
     attempt();
 }
 
+std::optional<local_refusal> request_flow::admit()
+{
+    const request_admission admission(m_state);
+    const auto refusal = m_state.link.isPartitioned() ? admission.admitForwarded(*m_exchange, m_request)
+                                                      : admission.admit(*m_exchange, m_request);
+    if (refusal)
+        return refusal;
+    m_maxAttempts = m_request.rule->maxAttempts;
+    if (m_origin == request_origin::instance)
+        m_maxAttempts = attemptsLeftOf(m_exchange->request, m_maxAttempts);
+    return std::nullopt;
+}
+
 selection request_flow::selectNext()
 {
     const auto now = monotonicNow();
@@ -112,6 +132,8 @@
 {
     if (m_failureAnswer)
         finish(*m_failureAnswer, "upstream_failure");
+    else if (m_origin == request_origin::instance && !m_mayHaveRun && m_state.link.isSuspect())
+        finish(notForwardedAnswer(), "not_forwarded");
     else
         refuse(m_mayHaveRun ? ifMayHaveRun : ifNotRun);
 }
@@ -124,6 +146,7 @@
     for (const auto& header : withoutCredentials(endToEndHeaders(m_exchange->request.headers))) {
         const bool isDropped = isSameHeaderName(header.name, names.remainingTime)
             || isSameHeaderName(header.name, names.customer) || isSameHeaderName(header.name, names.expectedUpstream)
+            || (m_origin == request_origin::instance && isSameHeaderName(header.name, attemptsLeftHeader))
             || isSameHeaderName(header.name, "Expect");
         if (!isDropped)
             request.headers.push_back(header);
@@ -197,10 +220,12 @@
     if (interpretation.isDeliverable)
         m_failureAnswer = result.answer;
     m_mayHaveRun = m_mayHaveRun || !isDefinitelyNotRun(interpretation.outcome);
-    if (mayRetry(interpretation))
-        attempt();
-    else
+    if (!mayRetry(interpretation))
         stopRetrying(interpretation);
+    else if (shouldForward())
+        forward();
+    else
+        attempt();
 }
 
 bool request_flow::mayRetry(const upstream_answer& interpretation)
@@ -211,7 +236,7 @@
         --m_attempts;
         return m_tries < maxTries;
     }
-    if (!isRepeatable || m_attempts >= m_request.rule->maxAttempts)
+    if (!isRepeatable || m_attempts >= m_maxAttempts)
         return false;
     if (!m_state.quarantine.empty()
         && m_state.quarantine.quarantinedFor(fingerprintOf(*m_exchange, m_request), monotonicNow()))
@@ -260,8 +285,7 @@
         onDeadline();
         return;
     }
-    const bool mayRetryElsewhere
-        = m_request.rule->isIdempotent && m_attempts < m_request.rule->maxAttempts && !m_state.isLeaving;
+    const bool mayRetryElsewhere = m_request.rule->isIdempotent && m_attempts < m_maxAttempts && !m_state.isLeaving;
     if (mayRetryElsewhere && isUpstreamUnresponsive(now))
         retryElsewhere();
     if (!m_isDone)
@@ -270,6 +294,10 @@
 
 void request_flow::retryElsewhere()
 {
+    if (shouldForward()) {
+        onPartition();
+        return;
+    }
     const auto next = selectNext();
     // The unresponsive upstream may still answer, so the attempt goes on if no other upstream can be tried.
     if (next.reason != selection_reason::chosen || !takeRetry())
@@ -280,6 +308,10 @@
 
 void request_flow::cancelAttempt(attempt_verdict verdict)
 {
+    if (m_peerAttempt) {
+        m_mayHaveRun = m_mayHaveRun || m_peerAttempt->hasSent();
+        m_peerAttempt.reset();
+    }
     if (!m_connection)
         return;
     const bool hasSent = m_connection->hasSent();
@@ -335,6 +367,10 @@
     const auto& object = headerValue(m_exchange->request.headers, m_state.headers.objectKey);
     if (!object.empty())
         line.with("object", object);
+    if (!m_forwardedTo.empty())
+        line.with("forwarded_to", m_forwardedTo.back().value());
+    if (m_origin == request_origin::instance)
+        line.with("forwarded", 1);
     if (m_attempts > 0)
         line.with("attempts", m_attempts)
             .with("upstream", m_sent.upstream.name.value())
--- a/src/flamingoroute/serving/serving_state.hpp
+++ b/src/flamingoroute/serving/serving_state.hpp
@@ -58,6 +58,7 @@
         , paths(nodeSettings.region)
         , usage(nodeSettings.usageAddress.port == 0 ? milliseconds(0) : nodeSettings.bounds.usageWindow)
         , connections(ioContext, names.requestId, nodeSettings.memoryLimitBytes / answerMemoryDivisor)
+        , peerConnections(ioContext, std::string(), nodeSettings.memoryLimitBytes / answerMemoryDivisor)
         , bodies(std::make_shared<body_budget>(
               static_cast<std::size_t>(requestMemoryShare * static_cast<double>(nodeSettings.memoryLimitBytes))))
     {
@@ -84,6 +85,7 @@
     usage_counter usage;
     upstream_link link;
     upstream_connection_pool connections;
+    upstream_connection_pool peerConnections; ///< to other instances, for forwarded requests
     std::shared_ptr<body_budget> bodies;
     serving_counters counters;
     std::unordered_map<const request_flow*, std::weak_ptr<request_flow>> openRequests;
--- a/src/flamingoroute/serving/upstream_answer.cpp
+++ b/src/flamingoroute/serving/upstream_answer.cpp
@@ -24,12 +24,6 @@
 constexpr double maxReportedCount = 1'000'000;
 constexpr const char* isLeavingValue = "1";
 
-/// @return whether callers conclude from @p status that the request did not run
-bool impliesNotRun(int status)
-{
-    return status == 429 || status == 503 || status == 408 || status == misdirectedStatus;
-}
-
 /// @return the decimal number in @p text; empty if it is none, negative or not finite
 std::optional<double> parseNumber(const std::string& text)
 {
@@ -60,6 +54,11 @@
 
 } // namespace
 
+bool impliesNotRun(int status)
+{
+    return status == 429 || status == 503 || status == 408 || status == misdirectedStatus;
+}
+
 upstream_answer interpretExchange(const exchange_result& result, const header_names& names)
 {
     upstream_answer interpretation;
--- a/src/flamingoroute/serving/upstream_answer.hpp
+++ b/src/flamingoroute/serving/upstream_answer.hpp
@@ -7,6 +7,9 @@
 
 namespace flamingoroute {
 
+/// @return whether callers conclude from @p status that the request did not run
+bool impliesNotRun(int status);
+
 /// Interpretation of an upstream's answer, or of its absence, for the request.
 struct upstream_answer {
     attempt_outcome outcome = attempt_outcome::unknown;
--- a/src/flamingoroute/settings/node_settings.hpp
+++ b/src/flamingoroute/settings/node_settings.hpp
@@ -20,6 +20,7 @@
     endpoint readinessAddress; ///< listen address for readiness checks
     endpoint lookupAddress; ///< listen address for look-ups
     endpoint peerAddress; ///< listen address for other instances
+    endpoint forwardAddress; ///< listen address for requests that other instances forward; port 0: none
     endpoint metricsAddress; ///< listen address for metrics; port 0: none
     endpoint storeAddress; ///< address of the platform's object API
     endpoint usageAddress; ///< address that takes usage reports; port 0: usage is not reported
--- a/tests/support/platform/platform_node.cpp
+++ b/tests/support/platform/platform_node.cpp
@@ -25,7 +25,7 @@
          << "\"\nregion = \"" << domain.substr(0, domain.find('-')) << "\"\nfirst_start = true\n"
          << "[self.limits]\nfile_descriptors = " << limits.fileDescriptors << "\nmemory_mb = " << limits.memoryMegabytes
          << "\n"
-         << "[network]\ninternal_port_range = [" << peers.port << "," << peers.port << "]\n"
+         << "[network]\ninternal_port_range = [" << peers.port << "," << peers.port + 1 << "]\n"
          << "[network.listen_addresses]\nfrontend = \"" << toString(callers) << "\"\nready = \"" << toString(readiness)
          << "\"\ndirectory = \"" << toString(lookups) << "\"\n"
          << "[network.zones]\ncentro-a = \"centro\"\ncentro-b = \"centro\"\noriente-a = \"oriente\"\n"
@@ -43,7 +43,7 @@
     : m_callers(freeLoopbackEndpoint())
     , m_readiness(freeLoopbackEndpoint())
     , m_lookups(freeLoopbackEndpoint())
-    , m_peers(freeLoopbackEndpoint())
+    , m_peers(freeLoopbackRange())
     , m_metrics(freeLoopbackEndpoint())
 {
     const std::string stem = ::testing::TempDir() + name + "-" + std::to_string(m_callers.port);
--- a/tests/support/platform/platform_node.hpp
+++ b/tests/support/platform/platform_node.hpp
@@ -49,6 +49,8 @@
     const endpoint& readiness() const { return m_readiness; }
     const endpoint& lookups() const { return m_lookups; }
     const endpoint& peers() const { return m_peers; }
+    /// @return the address for requests that other nodes forward
+    endpoint forwards() const { return { m_peers.address, static_cast<std::uint16_t>(m_peers.port + 1) }; }
     const endpoint& metrics() const { return m_metrics; }
 
 private:
--- a/tests/support/process/free_port.cpp
+++ b/tests/support/process/free_port.cpp
@@ -40,4 +40,16 @@
     throw std::runtime_error("no free port");
 }
 
+endpoint freeLoopbackRange()
+{
+    auto first = freeLoopbackEndpoint();
+    for (int tries = 0; tries < portCount; ++tries) {
+        const auto second = freeLoopbackEndpoint();
+        if (second.port == first.port + 1)
+            return first;
+        first = second;
+    }
+    throw std::runtime_error("no two free ports in a row");
+}
+
 } // namespace flamingoroute::testing
--- a/tests/support/process/free_port.hpp
+++ b/tests/support/process/free_port.hpp
@@ -9,6 +9,9 @@
 /// Ports are below the system's ephemeral port range, so that outgoing connections do not take them.
 endpoint freeLoopbackEndpoint();
 
+/// @return a loopback address with an unused port, whose next port is unused, too
+endpoint freeLoopbackRange();
+
 } // namespace flamingoroute::testing
 
 #endif
--- a/tests/unit/fleet/fleet_members_test.cpp
+++ b/tests/unit/fleet/fleet_members_test.cpp
@@ -108,4 +108,24 @@
     EXPECT_EQ(near().size(), 2U) << "nobody is better";
 }
 
+TEST(fleet_members, forwards_to_ready_instances_of_the_region_that_reach_upstreams_else_to_those_of_other_regions)
+{
+    fleet_members members(self);
+    for (auto peer : { sameDomain, sameRegion, far }) {
+        peer.forwardAddress = { "10.0.0.1", 7561 };
+        members.recordRegistered(peer, at(0));
+    }
+    EXPECT_TRUE(members.forwardingPeers(at(0)).empty()) << "none has reported";
+    for (const auto& peer : { sameDomain, sameRegion, far })
+        members.recordReport(reportOf(peer, true), at(0));
+    EXPECT_EQ(members.forwardingPeers(at(0)).size(), 2U);
+    for (const auto& peer : { sameDomain, sameRegion }) {
+        auto next = reportOf(peer, true);
+        next.reachesUpstreams = false;
+        members.recordReport(next, at(0));
+    }
+    ASSERT_EQ(members.forwardingPeers(at(0)).size(), 1U);
+    EXPECT_EQ(members.forwardingPeers(at(0)).front().instance, far.instance);
+}
+
 } // namespace flamingoroute
--- a/tests/unit/serving/serving_fixture.cpp
+++ b/tests/unit/serving/serving_fixture.cpp
@@ -105,14 +105,14 @@
     return request;
 }
 
-std::shared_ptr<caller_exchange> serving_fixture::begin(http_request request)
+std::shared_ptr<caller_exchange> serving_fixture::begin(http_request request, request_origin origin)
 {
     lastAnswer.reset();
     auto exchange = std::make_shared<caller_exchange>();
     exchange->request = std::move(request);
     exchange->arrivedAt = monotonicNow();
     exchange->answer = [this](caller_answer answer, bool) { lastAnswer = std::move(answer); };
-    std::make_shared<request_flow>(state, exchange)->start();
+    std::make_shared<request_flow>(state, exchange, origin)->start();
     return exchange;
 }
 
--- a/tests/unit/serving/serving_fixture.hpp
+++ b/tests/unit/serving/serving_fixture.hpp
@@ -32,7 +32,7 @@
     static http_request orderRequest();
 
     /// Starts serving @p request.
-    std::shared_ptr<caller_exchange> begin(http_request request);
+    std::shared_ptr<caller_exchange> begin(http_request request, request_origin origin = request_origin::caller);
 
     /// Serves @p request and runs the event loop until it is answered.
     /// @return the answer; empty if there is none within ten seconds
