Fail an attempt whose answer has a status that HTTP does not have

What callers saw: after an upstream's answer with status 000 they waited until their deadline and got 504, since the node took it for an interim answer and went on waiting; one with 600 or more, signed, was passed on as it was. The client of the product's own interface rejected 000, but passed 600 and more on.

Change: both clients of upstreams end the attempt at once with an unknown outcome if the status is not one from 100 to 599; a request that may be retried is. Both new tests failed before (504, 600, 999 and answered).

--- a/src/flamingoroute/proxy/client_connection.cpp
+++ b/src/flamingoroute/proxy/client_connection.cpp
@@ -290,8 +290,12 @@
 {
     auto message = m_reader->parser.release();
     const int status = static_cast<int>(message.result_int());
+    if (!isHttpStatus(status)) {
+        fail("read", "no status of HTTP: " + std::to_string(status), false, false);
+        return;
+    }
     auto headers = headersOf(message);
-    const bool isInterim = status < 200;
+    const bool isInterim = isInterimStatus(status);
     const std::string id = m_idHeader.empty() ? std::string() : headerValue(headers, m_idHeader);
     // Behind an earlier request, an answer without an id may be a repetition of that request's answer.
     const bool isUnattributable = id.empty() && m_hasAnswered;
--- a/src/flamingoroute/requests/caller_answer.hpp
+++ b/src/flamingoroute/requests/caller_answer.hpp
@@ -17,6 +17,21 @@
     bool operator==(const caller_answer&) const = default;
 };
 
+/// @return whether HTTP defines the class of @p status
+constexpr bool isHttpStatus(int status)
+{
+    constexpr int first = 100;
+    constexpr int last = 599;
+    return status >= first && status <= last;
+}
+
+/// @return whether an answer with @p status, one of HTTP, precedes the final answer to the same request
+constexpr bool isInterimStatus(int status)
+{
+    constexpr int firstFinal = 200;
+    return status < firstFinal;
+}
+
 } // namespace flamingoroute
 
 #endif
--- a/src/flamingoroute/requests/internal/upstream_connection.cpp
+++ b/src/flamingoroute/requests/internal/upstream_connection.cpp
@@ -109,9 +109,10 @@
     }
     std::string body;
     const auto ended = m_session->readBody(response, isHead, body);
-    if (ended != body_end::whole || response.getStatus() < 200) {
+    const int status = response.getStatus();
+    if (ended != body_end::whole || !isHttpStatus(status) || isInterimStatus(status)) {
         end.failure = { error_code::unavailable, "upstream.answer", m_peer,
-            std::string("not a complete final answer; body: ") + toString(ended) };
+            "not a complete final answer; status: " + std::to_string(status) + "; body: " + toString(ended) };
         return end;
     }
     end.answer = answerFrom(response, std::move(body));
--- a/tests/unit/requests/upstream_client_test.cpp
+++ b/tests/unit/requests/upstream_client_test.cpp
@@ -53,6 +53,15 @@
 
 } // namespace
 
+// MIXED: an answer whose status is none of HTTP must not reach the caller as an answer.
+TEST(upstream_client, returns_no_answer_with_a_status_that_http_does_not_have)
+{
+    for (const std::string status : { "000", "099", "600", "999" }) {
+        const auto result = resultOfAnswer("HTTP/1.1 " + status + " Trouble\r\nContent-Length: 4\r\n\r\nnone");
+        EXPECT_EQ(result.outcome, attempt_outcome::unknown) << status;
+    }
+}
+
 TEST(upstream_client, returns_a_complete_answer_with_content_length)
 {
     const auto result = resultOfAnswer(sizedAnswer("paid", "Upstream-Load: 0.25\r\nX-Note: a\r\n"));
--- a/tests/unit/serving/request_flow_test.cpp
+++ b/tests/unit/serving/request_flow_test.cpp
@@ -46,6 +46,24 @@
     EXPECT_EQ(headerValue(answer->headers, "X-Signature"), "s");
 }
 
+// MIXED: an upstream's status 000 was taken for an interim answer, and 600 and more were passed on to the caller.
+TEST(request_flow, fails_an_attempt_at_once_whose_answer_has_a_status_that_http_does_not_have)
+{
+    for (const std::string status : { "000 Trouble", "099 Trouble", "600 Trouble", "999 Trouble" }) {
+        raw_upstream broken(answering(status));
+        serving_fixture node;
+        node.addUpstream("u-1", broken);
+        const auto answer = node.serve(serving_fixture::orderRequest());
+        ASSERT_TRUE(answer);
+        EXPECT_EQ(answer->status, 502) << status;
+        EXPECT_EQ(headerValue(answer->headers, "X-Signature"), "") << status;
+        EXPECT_EQ(broken.requestCount(), 1);
+        raw_upstream healthy(answering("200 OK"));
+        node.addUpstream("u-2", healthy);
+        EXPECT_EQ(node.serve(serving_fixture::readRequest())->status, 200) << status;
+    }
+}
+
 TEST(request_flow, names_customer_upstream_and_time_left_and_keeps_the_key_back)
 {
     std::string seen;
