--- a/src/flamingoroute/runtime/serving_node.cpp
+++ b/src/flamingoroute/runtime/serving_node.cpp
@@ -27,7 +27,6 @@
 constexpr milliseconds unregisterTime { 250 };
 /// Minimum time before a leaving instance ends, for callers that have just received its address.
 constexpr milliseconds minLeaveTime { 2000 };
-constexpr milliseconds orderWriteRetry { 700 };
 /// Divisor of the descriptors available to callers; the rest is kept for the store, peers, logs and upstreams.
 constexpr std::size_t callerDescriptorDivisor = 2;
 constexpr std::size_t sideConnections = 256;
@@ -74,6 +73,7 @@
           { [this] { onPeerUpdate(); }, [this](region_digest& digest) { describeStore(digest); },
               [this](const store_batch& batch) { m_watch.applyBatch(batch); },
               [this](const envelope& message) { m_usage.receive(message); } })
+    , m_orderWriter(m_state, store, m_port, [this](const service_id& service) { m_watch.refreshVersionOrder(service); })
     , m_usage(m_state, store, m_port,
           [this](const endpoint& to, message_kind kind, const std::string& body) { m_gossip.send(to, kind, body); })
     , m_linkCheck(m_state, [this] { onLinkChange(); })
@@ -201,7 +201,7 @@
     });
     m_watch.updateWatches();
     updateReadiness();
-    writeDueOrders();
+    m_orderWriter.writeDue(monotonicNow());
     removeLostMembers();
     m_linkCheck.tick(monotonicNow());
     m_usage.tick();
@@ -251,42 +251,6 @@
     m_state.versions.judge(m_state.members.talliesOfOthers(now), now);
 }
 
-void serving_node::writeDueOrders()
-{
-    if (!m_state.versions.hasOrders())
-        return;
-    const auto now = monotonicNow();
-    for (const auto& order : m_state.versions.dueStates(m_state.members.rankAmongReachable(now), now)) {
-        auto& last = m_orderWrites[order.service];
-        if (now - last < orderWriteRetry)
-            continue;
-        last = now;
-        const auto evidence = m_state.versions.evidenceOf(order.service);
-        event_line(log_level::info, "version_order.decided")
-            .with("service", order.service.value())
-            .with("target", order.target.value())
-            .with("state", toString(order.state))
-            .with("attempts", evidence.attempts)
-            .with("failures", evidence.failures)
-            .with("slow", evidence.slow)
-            .with("other_attempts", evidence.otherAttempts)
-            .with("broken", evidence.broken)
-            .with("other_failures", evidence.otherFailures)
-            .with("other_slow", evidence.otherSlow)
-            .with("other_broken", evidence.otherBroken)
-            .with("revision", toString(order.revision));
-        m_store.putStatus(m_port.versionOrderKind, order.service.value(), m_port.encodeVersionOrderStatus(order),
-            order.revision, [this, service = order.service](const auto& written) {
-                if (written)
-                    return;
-                event_line(log_level::info, "version_order.not_written").with(written.error());
-                // After a restoration of the store, an order that did not change has another revision.
-                if (written.error().code == error_code::conflict)
-                    m_watch.refreshVersionOrder(service);
-            });
-    }
-}
-
 void serving_node::removeLostMembers()
 {
     const auto now = monotonicNow();
--- a/src/flamingoroute/runtime/serving_node.hpp
+++ b/src/flamingoroute/runtime/serving_node.hpp
@@ -7,6 +7,7 @@
 #include "flamingoroute/runtime/fleet_port.hpp"
 #include "flamingoroute/runtime/fleet_watch.hpp"
 #include "flamingoroute/runtime/usage_duty.hpp"
+#include "flamingoroute/runtime/version_order_writer.hpp"
 #include "flamingoroute/serving/request_flow.hpp"
 #include "flamingoroute/serving/serving_state.hpp"
 #include "flamingoroute/serving/upstream_link_check.hpp"
@@ -18,7 +19,6 @@
 
 #include <deque>
 #include <functional>
-#include <map>
 #include <memory>
 
 namespace flamingoroute {
@@ -52,7 +52,6 @@
     void describeStore(region_digest& digest) const;
     void tick();
     void updateReadiness();
-    void writeDueOrders();
     void removeLostMembers();
 
     void onLinkChange();
@@ -78,6 +77,7 @@
     serving_state m_state;
     fleet_watch m_watch;
     fleet_gossip m_gossip;
+    version_order_writer m_orderWriter;
     usage_duty m_usage;
     upstream_link_check m_linkCheck;
     monotonic_time m_failingSince; ///< no upstream has been reached since, before or during the last partition
@@ -92,7 +92,6 @@
     boost::asio::steady_timer m_leaveTimer;
     std::deque<std::function<tl::expected<void, error>()>> m_startSteps; ///< those not taken yet
     monotonic_time m_leavingSince;
-    std::map<service_id, monotonic_time> m_orderWrites; ///< when a state was last sent to the store
     bool m_isRegistering = false;
     bool m_isStartWaiting = false; ///< the first of the steps left has found its address in use
 };
