Count failures during a partition from the last connection that was accepted

Answers on open connections may go on while new ones are refused, so the last answer is too late a time to forget failures from. The origin of a request has a header of its own.

--- a/src/flamingoroute/fleet/fleet_members.hpp
+++ b/src/flamingoroute/fleet/fleet_members.hpp
@@ -103,9 +103,9 @@
     /// @return the demand of a customer as reported by this instance and the others
     demand_view demandFor(const customer_id& customer, monotonic_time now) const;
 
-    /// @return the other ready instances that reach upstreams and accept forwarded requests: those of the own region;
-    /// if
-    ///         there are none, of all regions
+    /// @return the other ready instances that reach upstreams and accept forwarded requests: those of the own region,
+    /// or
+    ///         of all regions if it has none
     std::vector<member> forwardingPeers(monotonic_time now) const;
 
     /// @return the ready instances of the failure domain; if there are none, of the region; else all ready ones. Those
--- a/src/flamingoroute/runtime/serving_node.cpp
+++ b/src/flamingoroute/runtime/serving_node.cpp
@@ -213,7 +213,7 @@
     m_state.members.setSelfReachesUpstreams(!isPartitioned);
     m_gossip.report(true);
     if (isPartitioned)
-        m_failingSince = m_state.link.lastReachedAt();
+        m_failingSince = m_state.link.lastConnectedAt();
     m_state.upstreams.forgetFailuresSince(m_failingSince);
     if (!isPartitioned)
         return;
--- a/src/flamingoroute/runtime/serving_node.hpp
+++ b/src/flamingoroute/runtime/serving_node.hpp
@@ -80,7 +80,7 @@
     version_order_writer m_orderWriter;
     usage_duty m_usage;
     upstream_link_check m_linkCheck;
-    monotonic_time m_failingSince; ///< no upstream has been reached since, before or during the last partition
+    monotonic_time m_failingSince; ///< last connection to an upstream before the last partition
     http_listener m_callers;
     http_listener m_forwards; ///< of requests that other instances forward
     http_listener m_readiness;
--- a/src/flamingoroute/serving/request_flow.hpp
+++ b/src/flamingoroute/serving/request_flow.hpp
@@ -8,6 +8,7 @@
 #include "flamingoroute/proxy/caller_exchange.hpp"
 #include "flamingoroute/requests/attempt_outcome.hpp"
 #include "flamingoroute/serving/admitted_request.hpp"
+#include "flamingoroute/serving/request_origin.hpp"
 #include "flamingoroute/serving/sent_attempt.hpp"
 
 #include <boost/asio/steady_timer.hpp>
@@ -26,12 +27,6 @@
 struct serving_state;
 struct upstream_answer;
 
-/// Who sent a request to this instance.
-enum class request_origin {
-    caller,
-    instance, ///< another instance, which reaches no upstream, forwarded a caller's request
-};
-
 /// Handles one request of a caller from its arrival to its answer: admission, attempts, retries, deadline. While this
 /// instance reaches no upstream, it forwards the request to an instance that does.
 class request_flow : public std::enable_shared_from_this<request_flow> {
--- a/src/flamingoroute/serving/upstream_link.cpp
+++ b/src/flamingoroute/serving/upstream_link.cpp
@@ -27,6 +27,7 @@
 {
     m_unreachable.clear();
     m_lost.clear();
+    m_lastConnectedAt = now;
     m_lastReachedAt = now;
 }
 
--- a/src/flamingoroute/serving/upstream_link.hpp
+++ b/src/flamingoroute/serving/upstream_link.hpp
@@ -45,8 +45,8 @@
     /// @return whether the last check reached no upstream
     bool isPartitioned() const { return m_isPartitioned; }
 
-    /// @return when an upstream last answered or accepted a connection
-    monotonic_time lastReachedAt() const { return m_lastReachedAt; }
+    /// @return when an upstream last accepted a connection
+    monotonic_time lastConnectedAt() const { return m_lastConnectedAt; }
 
 private:
     bool isSilent(monotonic_time now) const;
@@ -55,7 +55,8 @@
     std::set<upstream_id> m_lost; ///< since an upstream last answered
     int m_openAttempts = 0;
     monotonic_time m_busySince; ///< at least one attempt has been open since
-    monotonic_time m_lastReachedAt;
+    monotonic_time m_lastConnectedAt;
+    monotonic_time m_lastReachedAt; ///< last connection or answer
     monotonic_time m_nextCheckAt;
     bool m_isChecking = false;
     bool m_isPartitioned = false;
--- a/src/flamingoroute/serving/upstream_link_check.cpp
+++ b/src/flamingoroute/serving/upstream_link_check.cpp
@@ -103,14 +103,14 @@
         socket->close(ignored);
     }
     const bool wasPartitioned = m_state.link.isPartitioned();
-    const auto lastReachedAt = m_state.link.lastReachedAt();
+    const auto lastConnectedAt = m_state.link.lastConnectedAt();
     const auto now = monotonicNow();
     m_state.link.recordCheck(hasConnected, now);
     if (wasPartitioned == m_state.link.isPartitioned())
         return;
     event_line(log_level::warn, hasConnected ? "upstreams.reached" : "upstreams.partitioned")
         .with("checked", check.sockets.size())
-        .with("last_reached_ms", std::chrono::duration_cast<milliseconds>(now - lastReachedAt).count());
+        .with("last_connected_ms", std::chrono::duration_cast<milliseconds>(now - lastConnectedAt).count());
     m_onChange();
 }
 
--- a/tests/unit/serving/upstream_link_test.cpp
+++ b/tests/unit/serving/upstream_link_test.cpp
@@ -31,7 +31,7 @@
     link.recordCheck(true, at(610));
     EXPECT_FALSE(link.isPartitioned());
     EXPECT_FALSE(link.isSuspect());
-    EXPECT_EQ(link.lastReachedAt(), at(610));
+    EXPECT_EQ(link.lastConnectedAt(), at(610));
 }
 
 TEST(upstream_link, stays_suspect_while_open_connections_are_answered_and_new_ones_are_refused)
