--- a/soak/soak_environment.cpp
+++ b/soak/soak_environment.cpp
@@ -77,6 +77,7 @@
     std::string name;
     std::string failureDomain;
     endpoint address; ///< of its link through the fault proxy
+    bool isDraining = false;
     std::atomic<std::int64_t> serviceTimeMs { defaultServiceTime.count() };
     std::unique_ptr<testing::raw_upstream> socket;
 };
@@ -131,10 +132,11 @@
     return customer + "-k" + std::to_string(version);
 }
 
-std::string soak_environment::registrationText(const upstream_entry& upstream, const std::string& state) const
+std::string soak_environment::registrationText(const upstream_entry& upstream)
 {
     return R"({"service":"counter","address":")" + toString(upstream.address) + R"(","zone":")" + upstream.failureDomain
-        + R"(","version":"v1","slots":6,"state":")" + state + R"(","cold_remaining":"0ms","sequence":1,"born":7})";
+        + R"(","version":"v1","slots":6,"state":")" + (upstream.isDraining ? "draining" : "ready")
+        + R"(","cold_remaining":"0ms","sequence":1,"born":7})";
 }
 
 void soak_environment::addUpstream()
@@ -148,7 +150,7 @@
             serve(self, socket, connection);
         });
     self.address = m_proxy.addLink("nodes>" + self.name, self.socket->target().address);
-    m_store.put("servers", self.name, registrationText(self, "ready"));
+    m_store.put("servers", self.name, registrationText(self));
     m_upstreams.emplace(self.name, std::move(entry));
 }
 
@@ -250,6 +252,29 @@
     m_store.dropHistory();
 }
 
+void soak_environment::restoreStore()
+{
+    m_checker.recordDisruption("", monotonicNow());
+    std::vector<testing::platform_store_stand_in::specified_object> rewritten;
+    rewritten.push_back({ "config", "main", configurationText(m_version) });
+    for (const auto& [name, entry] : m_upstreams)
+        rewritten.push_back({ "servers", name, registrationText(*entry) });
+    for (const auto& domain : m_evacuated)
+        rewritten.push_back({ "evacuations", domain, "{}" });
+    m_store.restore(rewritten);
+    removeOthers("servers", [this](const std::string& name) { return m_upstreams.contains(name); });
+    removeOthers("evacuations", [this](const std::string& name) { return m_evacuated.contains(name); });
+}
+
+void soak_environment::removeOthers(
+    const std::string& kind, const std::function<bool(const std::string& name)>& isCurrent)
+{
+    for (const auto& name : m_store.names(kind)) {
+        if (!isCurrent(name))
+            m_store.remove(kind, name);
+    }
+}
+
 void soak_environment::setStoreLink(const std::string& node, const testing::link_fault& fault)
 {
     m_checker.recordDisruption(node, monotonicNow());
@@ -284,7 +309,8 @@
     const auto known = m_upstreams.find(upstream);
     if (known == m_upstreams.end())
         return;
-    m_store.put("servers", upstream, registrationText(*known->second, "draining"));
+    known->second->isDraining = true;
+    m_store.put("servers", upstream, registrationText(*known->second));
     m_checker.recordLeaving(upstream);
 }
 
--- a/soak/soak_environment.hpp
+++ b/soak/soak_environment.hpp
@@ -8,6 +8,7 @@
 #include "support/process/raw_upstream.hpp"
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -47,6 +48,10 @@
     void setStoreDown(bool isDown);
     void setStoreLosingAnswers(bool isLosing);
     void dropStoreHistory();
+    /// Keeps a copy of the store for restoreStore().
+    void copyStore() { m_store.copy(); }
+    /// Returns the store to its last copy. The operator and the upstreams write again what they have written.
+    void restoreStore();
     void setStoreLink(const std::string& node, const testing::link_fault& fault);
     void setUpstreamLink(const std::string& upstream, const testing::link_fault& fault);
 
@@ -69,7 +74,9 @@
 
     void addUpstream();
     void serve(upstream_entry& self, testing::raw_upstream& socket, Poco::Net::StreamSocket& connection);
-    std::string registrationText(const upstream_entry& upstream, const std::string& state) const;
+    static std::string registrationText(const upstream_entry& upstream);
+    /// Removes the objects of a kind that their writers have removed.
+    void removeOthers(const std::string& kind, const std::function<bool(const std::string& name)>& isCurrent);
 
     soak_checker& m_checker;
     testing::platform_store_stand_in m_store;
--- a/soak/soak_main.cpp
+++ b/soak/soak_main.cpp
@@ -15,6 +15,7 @@
 DEFINE_uint64(upstreams, 9, "upstreams");
 DEFINE_uint64(callers, 10, "callers");
 DEFINE_bool(only_restarts, false, "nodes are stopped, killed and restarted; nothing else fails");
+DEFINE_bool(restorations, false, "the store is restored from copies, beside the other faults");
 DEFINE_bool(verbose, false, "prints each fault");
 
 namespace {
@@ -42,6 +43,7 @@
     options.upstreams = FLAGS_upstreams;
     options.callers = FLAGS_callers;
     options.hasOnlyRestarts = FLAGS_only_restarts;
+    options.hasRestorations = FLAGS_restorations;
     options.isVerbose = FLAGS_verbose;
     const auto result = soak::runSoak(options);
     std::cout << "seed " << seed << ": " << result.problems.size() << " problems; replies " << result.statuses
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -105,15 +105,21 @@
         : m_environment(environment)
         , m_options(options)
         , m_random(options.seed)
+        , m_restorationRandom(options.seed + 1)
     {
     }
 
     void run(monotonic_time until)
     {
         auto next = monotonicNow();
+        auto nextRestoration = next + milliseconds(m_restorationRandom() % 2000);
         while (monotonicNow() < until) {
             runDue();
             m_environment.restartExitedNodes();
+            if (m_options.hasRestorations && monotonicNow() >= nextRestoration) {
+                startRestoration();
+                nextRestoration = monotonicNow() + milliseconds(2500 + m_restorationRandom() % 2500);
+            }
             if (monotonicNow() >= next) {
                 startFault();
                 next = monotonicNow() + milliseconds(100 + pick(1100));
@@ -240,6 +246,20 @@
         }
     }
 
+    /// Copies the store, and some time later takes it down and returns it to the copy.
+    void startRestoration()
+    {
+        const auto age = milliseconds(200 + m_restorationRandom() % 1800);
+        const auto outage = milliseconds(100 + m_restorationRandom() % 900);
+        logFault("store restored from a copy");
+        m_environment.copyStore();
+        scheduleEnd(age, [this] { m_environment.setStoreDown(true); });
+        scheduleEnd(age + outage, [this] {
+            m_environment.restoreStore();
+            m_environment.setStoreDown(false);
+        });
+    }
+
     void truncateAnswers(const std::string& upstream, milliseconds duration)
     {
         logFault("truncate answers of " + upstream);
@@ -252,6 +272,7 @@
     soak_environment& m_environment;
     soak_options m_options;
     std::mt19937_64 m_random;
+    std::mt19937_64 m_restorationRandom; ///< its own, so that a seed has the same other faults with and without
     std::multimap<monotonic_time, std::function<void()>> m_due;
 };
 
--- a/soak/soak_run.hpp
+++ b/soak/soak_run.hpp
@@ -16,6 +16,7 @@
     std::size_t nodes = 5;
     std::size_t upstreams = 9;
     std::size_t callers = 10;
+    bool hasRestorations = false; ///< the store is restored from copies, beside the other faults
     bool hasOnlyRestarts = false; ///< nodes are stopped, killed and restarted; nothing else fails
     bool isVerbose = false; ///< prints each fault
 
--- a/src/flamingoroute/fleet/store_batch.hpp
+++ b/src/flamingoroute/fleet/store_batch.hpp
@@ -1,7 +1,7 @@
 #ifndef FLAMINGOROUTE_FLEET_STORE_BATCH_HPP
 #define FLAMINGOROUTE_FLEET_STORE_BATCH_HPP
 
-#include "flamingoroute/store/store_revision.hpp"
+#include "flamingoroute/model/store_revision.hpp"
 
 #include <msgpack.hpp>
 
--- a/src/flamingoroute/model/version_order.hpp
+++ b/src/flamingoroute/model/version_order.hpp
@@ -3,7 +3,7 @@
 
 #include "flamingoroute/model/ids.hpp"
 #include "flamingoroute/model/monotonic_time.hpp"
-#include "flamingoroute/store/store_revision.hpp"
+#include "flamingoroute/model/store_revision.hpp"
 
 namespace flamingoroute {
 
--- a/src/flamingoroute/store/fleet_object.hpp
+++ b/src/flamingoroute/store/fleet_object.hpp
@@ -1,7 +1,7 @@
 #ifndef FLAMINGOROUTE_STORE_FLEET_OBJECT_HPP
 #define FLAMINGOROUTE_STORE_FLEET_OBJECT_HPP
 
-#include "flamingoroute/store/store_revision.hpp"
+#include "flamingoroute/model/store_revision.hpp"
 
 #include <Poco/JSON/Object.h>
 
--- a/src/flamingoroute/store/store_position.hpp
+++ b/src/flamingoroute/store/store_position.hpp
@@ -1,7 +1,7 @@
 #ifndef FLAMINGOROUTE_STORE_STORE_POSITION_HPP
 #define FLAMINGOROUTE_STORE_STORE_POSITION_HPP
 
-#include "flamingoroute/store/store_revision.hpp"
+#include "flamingoroute/model/store_revision.hpp"
 
 #include <msgpack.hpp>
 
