--- a/tests/integration/partitioned_node_test.cpp
+++ b/tests/integration/partitioned_node_test.cpp
@@ -70,17 +70,17 @@
 protected:
     void SetUp() override // NOLINT(readability-identifier-naming)
     {
-        first.store.put("flamingoroute-members", second.name, second.registration());
-        second.store.put("flamingoroute-members", first.name, first.registration());
-        ASSERT_TRUE(first.node->waitUntilReady());
-        ASSERT_TRUE(second.node->waitUntilReady());
-        ASSERT_TRUE(waitFor([&] { return first.names(second) && second.names(first); }));
+        m_first.store.put("flamingoroute-members", m_second.name, m_second.registration());
+        m_second.store.put("flamingoroute-members", m_first.name, m_first.registration());
+        ASSERT_TRUE(m_first.node->waitUntilReady());
+        ASSERT_TRUE(m_second.node->waitUntilReady());
+        ASSERT_TRUE(waitFor([&] { return m_first.names(m_second) && m_second.names(m_first); }));
         for (int i = 0; i < 4; ++i)
-            ASSERT_EQ(first.node->send("before-" + std::to_string(i), "k1", "GET", "/read/1").status, 200);
+            ASSERT_EQ(m_first.node->send("before-" + std::to_string(i), "k1", "GET", "/read/1").status, 200);
     }
 
-    linked_node first { "node-1", "centro-a" };
-    linked_node second { "node-2", "centro-a" };
+    linked_node m_first { "node-1", "centro-a" };
+    linked_node m_second { "node-2", "centro-a" };
 };
 
 } // namespace
@@ -88,45 +88,45 @@
 // RECOVER: callers of an instance that had lost its links to the upstreams were refused.
 TEST_F(partitioned_node_test, serves_its_callers_through_another_node_and_leaves_the_lookups_until_it_reaches_upstreams)
 {
-    first.partition();
+    m_first.partition();
     ASSERT_TRUE(waitFor([&] {
-        first.node->send("meanwhile", "k1", "GET", "/read/1");
-        return first.hasLogged("upstreams.partitioned");
+        m_first.node->send("meanwhile", "k1", "GET", "/read/1");
+        return m_first.hasLogged("upstreams.partitioned");
     }));
     for (int i = 0; i < 20; ++i) {
         const auto id = std::to_string(i);
-        const auto read = first.node->send("read-" + id, "k1", "GET", "/read/" + id);
+        const auto read = m_first.node->send("read-" + id, "k1", "GET", "/read/" + id);
         EXPECT_EQ(read.status, 200) << read.body;
         EXPECT_EQ(read.body, "done");
-        const auto order = first.node->send("order-" + id, "k1", "POST", "/order/" + id, "{}");
+        const auto order = m_first.node->send("order-" + id, "k1", "POST", "/order/" + id, "{}");
         EXPECT_EQ(order.status, 200) << order.body;
     }
-    EXPECT_EQ(first.node->send("wrong-key", "k2", "GET", "/read/1").status, 401);
-    EXPECT_EQ(callOnce(first.node->readiness(), "GET", "/readiness").status, 200);
-    EXPECT_TRUE(waitFor([&] { return !first.names(first) && !second.names(first); }));
-    EXPECT_TRUE(first.names(second));
-    first.connect();
-    EXPECT_TRUE(waitFor([&] { return first.hasLogged("upstreams.reached"); }));
-    EXPECT_TRUE(waitFor([&] { return first.names(first) && second.names(first); }));
-    EXPECT_EQ(first.node->send("after", "k1", "GET", "/read/1").status, 200);
-    EXPECT_EQ(first.requestCount(), 1);
+    EXPECT_EQ(m_first.node->send("wrong-key", "k2", "GET", "/read/1").status, 401);
+    EXPECT_EQ(callOnce(m_first.node->readiness(), "GET", "/readiness").status, 200);
+    EXPECT_TRUE(waitFor([&] { return !m_first.names(m_first) && !m_second.names(m_first); }));
+    EXPECT_TRUE(m_first.names(m_second));
+    m_first.connect();
+    EXPECT_TRUE(waitFor([&] { return m_first.hasLogged("upstreams.reached"); }));
+    EXPECT_TRUE(waitFor([&] { return m_first.names(m_first) && m_second.names(m_first); }));
+    EXPECT_EQ(m_first.node->send("after", "k1", "GET", "/read/1").status, 200);
+    EXPECT_EQ(m_first.requestCount(), 1);
 }
 
 TEST_F(partitioned_node_test, refuses_at_once_and_stays_in_the_lookups_while_no_node_reaches_an_upstream)
 {
-    first.partition();
-    second.partition();
-    for (const auto* one : { &first, &second })
+    m_first.partition();
+    m_second.partition();
+    for (const auto* one : { &m_first, &m_second })
         ASSERT_TRUE(waitFor([&] {
             one->node->send("meanwhile", "k1", "GET", "/read/1");
             return one->hasLogged("upstreams.partitioned");
         }));
-    const auto refused = first.node->send("refused", "k1", "POST", "/order/1", "{}");
+    const auto refused = m_first.node->send("refused", "k1", "POST", "/order/1", "{}");
     EXPECT_EQ(refused.status, 503);
     EXPECT_NE(refused.header("Retry-After"), "");
-    EXPECT_TRUE(waitFor([&] { return first.names(first) && first.names(second); }));
-    first.connect();
-    EXPECT_TRUE(waitFor([&] { return first.node->send("healed", "k1", "GET", "/read/1").status == 200; }));
+    EXPECT_TRUE(waitFor([&] { return m_first.names(m_first) && m_first.names(m_second); }));
+    m_first.connect();
+    EXPECT_TRUE(waitFor([&] { return m_first.node->send("healed", "k1", "GET", "/read/1").status == 200; }));
 }
 
 } // namespace flamingoroute::testing
