--- a/src/flamingoroute/store/object_watcher.hpp
+++ b/src/flamingoroute/store/object_watcher.hpp
@@ -21,9 +21,9 @@
 /// While a relay forwards changes, it calls the store only for changes that the relay's position shows to be missing.
 /// Retries through outages with exponential back-off.
 ///
-/// After a restoration of the store it lists the objects again: those of the era before may be gone, and others may have
-/// their revision numbers. Objects that the list lacks are kept for a time, in which their
-/// writers write them again.
+/// After a restoration of the store it lists the objects again: those of the era before may be gone, and others may
+/// have their revision numbers. Objects that the list lacks are kept for a time, in which their writers write them
+/// again.
 class object_watcher : public std::enable_shared_from_this<object_watcher> {
 public:
     struct handlers {
